--- a/include/rhubarbarch/consensus/replica.h
+++ b/include/rhubarbarch/consensus/replica.h
@@ -20,6 +20,9 @@
   InstanceId instance;
   std::vector<InstanceId> controllers; ///< all controllers named in the settings, this one included
   bool bootstrap = false; ///< found a new group when the data folder is fresh; set once, when the fleet is founded
+  /// Instances that `controllers` does not name may join, and a new one takes the place of a voter that stays silent.
+  /// `controllers` then only holds the first contacts, and the founders when the group is founded.
+  bool openMembership = false;
   Duration heartbeat{ 100 };
   Duration electionTimeout{ 600 }; ///< a random part of up to the same length is added
   std::size_t maxEntriesPerAppend = 256;
--- a/include/rhubarbarch/controller/events.h
+++ b/include/rhubarbarch/controller/events.h
@@ -88,8 +88,28 @@
   RequestId request;
 };
 
-using Operation =
-  std::variant<ApplyPlans, ApplyUses, ShowLists, ShowInstances, RequestMove, ShowMoves, ShowPlan, ExplainRequest>;
+/// Put a routing document in force if its version is the highest so far.
+struct PutRouting
+{
+  RoutingTable table;
+  std::string source; ///< as the operator sent it
+  std::string digest; ///< of the content, independent of its layout
+};
+
+/// Read the routing document in force as its operator sent it.
+struct ShowRouting
+{};
+
+using Operation = std::variant<ApplyPlans,
+                               ApplyUses,
+                               ShowLists,
+                               ShowInstances,
+                               RequestMove,
+                               ShowMoves,
+                               ShowPlan,
+                               ExplainRequest,
+                               PutRouting,
+                               ShowRouting>;
 
 /// A parsed operator request.
 struct OperatorRequest
@@ -105,7 +125,14 @@
   std::vector<InstanceId> leaving;
 };
 
-using Event = std::variant<PeerMessage, PeerUp, PeerDown, Tick, Shutdown, OperatorRequest, PlatformList>;
+/// The upstreams in the platform's list, as an answer to ReadUpstreams.
+struct UpstreamsRead
+{
+  std::vector<UpstreamEntry> upstreams;
+};
+
+using Event =
+  std::variant<PeerMessage, PeerUp, PeerDown, Tick, Shutdown, OperatorRequest, PlatformList, UpstreamsRead>;
 
 struct Send
 {
@@ -119,6 +146,7 @@
   OperatorId id{};
   std::int32_t httpStatus = 200;
   nlohmann::json body;
+  std::string document; ///< sent in place of `body` when not empty
 };
 
 struct Log
@@ -136,7 +164,17 @@
   std::vector<consensus::StorageRecord> records;
 };
 
-using Action = std::variant<Send, OperatorReply, Persist, Log, Stopped>;
+/// Connect to a controller whose instance name is its endpoint.
+struct Connect
+{
+  InstanceId controller;
+};
+
+/// Read the platform's list of upstreams; UpstreamsRead follows unless the platform does not answer.
+struct ReadUpstreams
+{};
+
+using Action = std::variant<Send, OperatorReply, Persist, Log, Stopped, Connect, ReadUpstreams>;
 using Actions = std::vector<Action>;
 
 } // namespace rhubarbarch::controller
--- a/include/rhubarbarch/controller/options.h
+++ b/include/rhubarbarch/controller/options.h
@@ -51,6 +51,15 @@
   double latencyMargin = 0.7;       ///< mean latency above the old version's that counts as a fault, in powers of two
 };
 
+/// Settings of the gateways controller.
+struct GatewayOptions
+{
+  bool readUpstreams = false; ///< the leader reads the platform's list for the gateways
+  Duration readPeriod{ 400 }; ///< a fraction of the lag that platforms state for their list, about 800 ms
+  Duration lost{ 3000 };      ///< a gateway silent for this long no longer counts among those that share limits
+  Duration demandKept{ 1000 }; ///< a report of waiting requests older than some polls says nothing
+};
+
 /// Settings of the controller role.
 struct ControllerOptions
 {
@@ -58,6 +67,7 @@
   GrantOptions grants;
   SessionOptions sessions;
   MoveOptions moves;
+  GatewayOptions gateways;
   std::size_t snapshotEntries = 4096;
   Duration explainTime{ 1000 };    ///< how long answers to an explain request are gathered
   Duration expirePeriod{ 60'000 }; ///< how often old claims are looked for
--- a/include/rhubarbarch/net/http_server.h
+++ b/include/rhubarbarch/net/http_server.h
@@ -31,6 +31,7 @@
   Duration receiveTimeout{ 10'000 };                        ///< for a whole header and body; then 408
   Duration idleTimeout{ 60'000 };                           ///< between two requests
   Duration writeTimeout{ 600'000 };                         ///< without a byte taken by the caller
+  bool passFields = false;                                  ///< requests carry their target and all header fields
 };
 
 /// Callbacks, all on the thread of the event loop.
@@ -65,6 +66,10 @@
   void reply(const router::ReplyEnd& aEnd);
   void reply(const router::ReplyAbort& aAbort);
 
+  /// Changes what callers may send and how long they may take; applies to requests that begin later.
+  void limit(std::size_t aHeaderBytes, std::size_t aBodyBytes, Duration aReceiveTimeout, Duration aIdleTimeout);
+  /// Serves on, but closes each connection after its next answer.
+  void drain();
   /// Accepts no more connections and closes the present ones after their answers.
   void stop();
   /// @return requests that were passed on and whose answer is not yet fully taken by the caller; any thread
--- a/include/rhubarbarch/router/events.h
+++ b/include/rhubarbarch/router/events.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "rhubarbarch/base/http_field.h"
 #include "rhubarbarch/base/log_line.h"
 #include "rhubarbarch/base/time.h"
 #include "rhubarbarch/wire/message.h"
@@ -27,6 +28,8 @@
   std::string idempotencyKey; ///< empty when absent
   std::string contentType;
   std::string body;
+  std::string target; ///< path and query; only if HttpServerOptions::passFields
+  HttpFields fields;  ///< all header fields; only if HttpServerOptions::passFields
 };
 
 /// Answer bytes were written to the caller's socket, so that more may be fetched.
@@ -95,6 +98,7 @@
   std::string requestId;           ///< sent as `X-Request-Id`
   bool chunked = false;            ///< true: length is not known yet
   std::uint64_t contentLength = 0; ///< when not chunked, in bytes
+  HttpFields fields;               ///< further header fields
 };
 
 /// Bytes of the answer.
--- a/include/rhubarbarch/settings/settings.h
+++ b/include/rhubarbarch/settings/settings.h
@@ -44,6 +44,8 @@
 {
   Endpoint listen;
   std::string sharedKey; ///< every process of the fleet proves that it holds it
+  Duration heartbeat{ 1000 };
+  Duration silence{ 3000 }; ///< without a frame for this long a connection is closed and replaced
 };
 
 /// Settings of the controller role.
@@ -54,6 +56,17 @@
   Duration versionLoadTime{ 60'000 };   ///< time to load one version from the weight store
   std::uint32_t parallelLoads = 2;      ///< loads that the weight store serves at full rate at once
   Duration moveWatchTime{ 60'000 };     ///< how long a new version at full share is watched before the move is done
+  bool openMembership = false;          ///< see consensus::ReplicaOptions
+  Endpoint control;                     ///< interface of the platform's operator; port 0: none
+};
+
+/// Settings of the gateway role.
+struct GatewaySettings
+{
+  Endpoint ready; ///< where a balancer asks whether the gateway takes callers
+  double retryRatio = 0.1;
+  std::int64_t retrySlack = 0;
+  Duration retryWindow{ 10'000 };
 };
 
 /// Settings of the caller-facing HTTP server.
@@ -97,12 +110,15 @@
   bool router = false;
   bool agent = false;
   bool controller = false;
+  bool gateway = false; ///< a router that calls upstreams itself
   PeerSettings peer;
   std::vector<ControllerPeer> controllers;
   ControllerSettings controllerSettings;
   CallerSettings caller;
   OperatorSettings operators;
   UpstreamSettings upstream;
+  GatewaySettings gatewaySettings;
+  std::optional<Endpoint> upstreamList; ///< serves the platform's list of upstreams; gateways and controllers
   Duration shutdownTimeout{ 60'000 }; ///< for a graceful shutdown
 };
 
--- a/include/rhubarbarch/state/replicated_state.h
+++ b/include/rhubarbarch/state/replicated_state.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include "rhubarbarch/base/error.h"
+#include "rhubarbarch/state/allowances.h"
 #include "rhubarbarch/state/claims.h"
 #include "rhubarbarch/state/ledger.h"
 #include "rhubarbarch/state/lists.h"
 #include "rhubarbarch/state/moves.h"
+#include "rhubarbarch/state/routing.h"
 #include "rhubarbarch/state/sessions.h"
 
 #include <string>
@@ -22,6 +24,8 @@
   Sessions sessions;
   Claims claims;
   Moves moves;
+  RoutingState routing;
+  Allowances allowances;
 };
 
 /// Every command of the replicated log. Commands hold all times; applying them reads no clock.
@@ -43,11 +47,22 @@
                              ExpireClaims,
                              AddMove,
                              StepMove,
-                             RaiseFence>;
+                             RaiseFence,
+                             StoreRouting,
+                             OpenGateway,
+                             ReportAllowances>;
 
 /// What a command changed, for the answer to whoever sent it.
 using Outcome =
-  std::variant<std::monostate, ListOutcome, SessionOutcome, IssueOutcome, LedgerOutcome, ClaimOutcome, MoveOutcome>;
+  std::variant<std::monostate,
+               ListOutcome,
+               SessionOutcome,
+               IssueOutcome,
+               LedgerOutcome,
+               ClaimOutcome,
+               MoveOutcome,
+               RoutingOutcome,
+               GatewayOutcome>;
 
 /// Applies a committed command. The result depends on nothing but the arguments.
 /// @param aState state after all entries before `aIndex`
--- /dev/null
+++ b/include/rhubarbarch/wire/gateway_messages.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "rhubarbarch/base/ids.h"
+#include "rhubarbarch/wire/json_fields.h"
+#include "rhubarbarch/wire/routing.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace rhubarbarch {
+
+/// A gateway's use of one plan. The counters only grow, so that a repeated or late report changes nothing.
+struct PlanUse
+{
+  PlanId plan;
+  Tokens returned = 0; ///< of all tokens issued to this session, those given back
+  Tokens spent = 0;    ///< charged to requests that ended
+  Tokens reserved = 0; ///< by requests in progress
+  Tokens target = 0;   ///< tokens that the gateway wants to hold, `spent` and `reserved` included
+  Tokens waiting = 0;  ///< part of `target` that requests wait for now
+};
+
+/// A gateway's requests at one upstream.
+struct UpstreamUse
+{
+  std::string id;
+  std::int64_t running = 0;       ///< requests whose answer has not ended
+  std::int64_t prefillTokens = 0; ///< of those without a first event
+};
+
+/// Report of a gateway, repeated all the time; also its heartbeat.
+struct GatewayPoll
+{
+  InstanceId instance;
+  Boot boot{};
+  SessionId session{};      ///< zero: asks for one
+  std::uint64_t number = 0; ///< grows with each poll of this boot
+  std::string endpoint;     ///< `ip:port` of its peer listener
+  std::int64_t routingVersion = 0;
+  std::uint64_t upstreamsRevision = 0;
+  bool leaving = false; ///< shuts down; gives all free tokens back
+  std::vector<PlanUse> plans;
+  std::vector<UpstreamUse> upstreams;
+};
+
+/// What the leader knows of one plan.
+struct PlanAllowance
+{
+  PlanId plan;
+  Tokens issued = 0;    ///< to this session, ever
+  Tokens remaining = 0; ///< of the budget, after all that gateways reported as spent or reserved
+  bool recall = false;  ///< give back what no request needs: other gateways wait for tokens
+};
+
+/// Answer to GatewayPoll, read at a quorum-confirmed index.
+struct GatewayState
+{
+  InstanceId instance; ///< of the gateway
+  Boot boot{};
+  std::uint64_t number = 0; ///< of the poll
+  SessionId session{};
+  bool superseded = false; ///< a later boot of the instance has registered: stop
+  bool hasRouting = false;
+  RoutingTable routing;
+  std::int64_t routingVersion = 0; ///< in force; zero: none yet
+  bool hasUpstreams = false;
+  std::uint64_t upstreamsRevision = 0;
+  std::int64_t upstreamsAgeMs = -1; ///< since the platform's list was read; negative: never
+  std::vector<UpstreamEntry> upstreams;
+  std::vector<UpstreamUse> othersUse; ///< sums over all other gateways
+  std::vector<PlanAllowance> plans;
+  std::vector<std::string> controllers; ///< endpoints of the members
+  std::uint32_t gateways = 1;           ///< heard lately
+};
+
+RHUBARBARCH_DECLARE_FIELDS(PlanUse)
+RHUBARBARCH_DECLARE_FIELDS(UpstreamUse)
+RHUBARBARCH_DECLARE_FIELDS(GatewayPoll)
+RHUBARBARCH_DECLARE_FIELDS(PlanAllowance)
+RHUBARBARCH_DECLARE_FIELDS(GatewayState)
+
+} // namespace rhubarbarch
--- a/include/rhubarbarch/wire/message.h
+++ b/include/rhubarbarch/wire/message.h
@@ -2,6 +2,7 @@
 
 #include "rhubarbarch/wire/consensus_messages.h"
 #include "rhubarbarch/wire/control_messages.h"
+#include "rhubarbarch/wire/gateway_messages.h"
 #include "rhubarbarch/wire/run_messages.h"
 
 #include <variant>
@@ -53,7 +54,9 @@
                              RunStatus,
                              Attach,
                              ChargeSettled,
-                             AgentStatus>;
+                             AgentStatus,
+                             GatewayPoll,
+                             GatewayState>;
 
 /// A message with its sender and receiver.
 struct Envelope
--- a/src/consensus/membership.cpp
+++ b/src/consensus/membership.cpp
@@ -19,6 +19,13 @@
 /// A founder that learned of a group asks again after this many election timeouts; the disk with that group's entries
 /// may have been lost before any was committed.
 constexpr int kDeniedTimeouts = 4;
+/// A voter that stays silent for this many election timeouts gives its place to a new instance that has caught up.
+constexpr int kReplacedSilence = 3;
+/// A voter that nobody replaces leaves after this many election timeouts of silence, so that the others need no reply
+/// of it; it asks to join when it is back.
+constexpr int kVoterSilence = 8;
+/// Voters that a group keeps however long one of them is silent.
+constexpr std::ptrdiff_t kFewestVoters = 3;
 /// Largest term in which a group starts.
 constexpr std::uint64_t kMaxFoundingTerm = 1U << 20U;
 
@@ -58,6 +65,42 @@
   return found == members.end() ? std::nullopt : std::optional(*found);
 }
 
+std::ptrdiff_t
+voterCount(const Members& aMembers)
+{
+  return std::ranges::count_if(aMembers, &Member::voter);
+}
+
+/// A voter that has been silent for a time, while all other voters are heard.
+std::optional<Member>
+onlySilentVoter(const Core& aCore, Duration aTime, TimePoint aNow)
+{
+  std::optional<Member> silent;
+  for (const auto& member : currentMembers(aCore.log)) {
+    if (!member.voter || heardWithin(aCore, member.replica, aCore.options.electionTimeout, aNow)) {
+      continue;
+    }
+    if (silent || heardWithin(aCore, member.replica, aTime, aNow)) {
+      return std::nullopt;
+    }
+    silent = member;
+  }
+  return silent;
+}
+
+/// The member whose place a learner takes: its instance's earlier identity, or in a group that new instances may join
+/// a voter that is gone. Without this, a group whose instances are replaced at other addresses would need replies from
+/// voters that no longer exist.
+std::optional<Member>
+predecessor(const Core& aCore, const Member& aLearner, TimePoint aNow)
+{
+  const auto earlier = earlierIdentity(aCore, aLearner);
+  if (earlier || !aCore.options.openMembership) {
+    return earlier;
+  }
+  return onlySilentVoter(aCore, kReplacedSilence * aCore.options.electionTimeout, aNow);
+}
+
 /// Replaces an earlier identity by a learner that has caught up, in two changes: first the earlier identity leaves,
 /// then the learner becomes a voter. In the other order the group would for a moment have a voter more and need one
 /// more reply, and if the new disk were lost at that moment, too, three voters of four would have to come from two.
@@ -68,7 +111,7 @@
     if (member.voter || !caughtUp(aCore, member, aNow)) {
       continue;
     }
-    const auto earlier = earlierIdentity(aCore, member);
+    const auto earlier = predecessor(aCore, member, aNow);
     if (earlier && heardWithin(aCore, earlier->replica, aCore.options.electionTimeout, aNow)) {
       continue; // alive, so its disk is not lost
     }
@@ -92,6 +135,17 @@
   return silent == members.end() ? std::nullopt : std::optional(without(members, silent->replica));
 }
 
+std::optional<Members>
+removalOfSilentVoter(const Core& aCore, TimePoint aNow)
+{
+  const auto& members = currentMembers(aCore.log);
+  if (!aCore.options.openMembership || voterCount(members) <= kFewestVoters) {
+    return std::nullopt;
+  }
+  const auto silent = onlySilentVoter(aCore, kVoterSilence * aCore.options.electionTimeout, aNow);
+  return silent ? std::optional(without(members, silent->replica)) : std::nullopt;
+}
+
 /// Adds a replica that asked to join as a learner. An instance has one learner at a time: an earlier one that has
 /// fallen silent leaves first.
 std::optional<Members>
@@ -133,6 +187,7 @@
 {
   return aCore.options.bootstrap && blank(aCore.log) && aNow >= aCore.deniedUntil &&
          aCore.hard.founder == ReplicaId{} &&
+         std::ranges::find(aCore.options.controllers, aCore.options.instance) != aCore.options.controllers.end() &&
          std::ranges::all_of(aCore.options.controllers,
                              [&aCore](const auto& aEach) { return aCore.options.instance <= aEach; });
 }
@@ -217,10 +272,17 @@
   } else if (aCore.hard.founder == aRequest.replica && !aRequest.grouped) {
     setFounder(aCore, ReplicaId{}, aStep); // it has learned of a group and founds none
   }
-  const bool known = std::ranges::find(aCore.options.controllers, aFrom) != aCore.options.controllers.end();
-  if (aCore.role == ReplicaRole::kLeader && known && aFrom != aCore.options.instance &&
-      !isMember(aCore, aRequest.replica)) {
-    aCore.joins[aFrom] = Join{ aRequest.replica, aStep.now };
+  const auto& instance = aRequest.instance;
+  const bool known = aCore.options.openMembership ||
+                     std::ranges::find(aCore.options.controllers, instance) != aCore.options.controllers.end();
+  if (!known || instance == aCore.options.instance || isMember(aCore, aRequest.replica)) {
+    return;
+  }
+  if (aCore.role == ReplicaRole::kLeader) {
+    aCore.joins[instance] = Join{ aRequest.replica, aStep.now };
+  } else if (aCore.options.openMembership && aFrom == instance && !aCore.leaderInstance.empty()) {
+    // The sender may know only this replica: its contacts need not hold the leader.
+    aStep.out.messages.push_back({ aCore.leaderInstance, aRequest });
   }
 }
 
@@ -233,6 +295,7 @@
     return;
   }
   auto change = promotion(aCore, aStep.now);
+  change = change ? change : removalOfSilentVoter(aCore, aStep.now);
   change = change ? change : removalOfSilentLearner(aCore, aStep.now);
   change = change ? change : admission(aCore, aStep.now);
   if (change) {
--- a/src/controller/config.cpp
+++ b/src/controller/config.cpp
@@ -238,7 +238,8 @@
 std::optional<std::uint64_t>
 takeRead(Memory& aMemory, std::uint64_t& aNextRead)
 {
-  if (aMemory.nextRead.polls.empty() && aMemory.nextRead.shows.empty()) {
+  const auto& waiting = aMemory.nextRead;
+  if (waiting.polls.empty() && waiting.gatewayPolls.empty() && waiting.shows.empty()) {
     return std::nullopt;
   }
   const auto read = ++aNextRead;
@@ -261,6 +262,9 @@
     }
     send(aContext, pending.from, state);
   }
+  for (const auto& pending : read.mapped().gatewayPolls) {
+    answerGateway(aContext, pending.from, pending.poll);
+  }
   for (const auto& show : read.mapped().shows) {
     runOperator(aContext, show);
   }
--- a/src/controller/context.h
+++ b/src/controller/context.h
@@ -30,6 +30,8 @@
   /// @param aDone runs when it is committed
   /// @param aOperator who gets `not_leader` when leadership is lost before that
   virtual void propose(state::Command aCommand, Completion aDone, std::optional<OperatorId> aOperator) = 0;
+  /// @return the instances of the group's members
+  virtual std::vector<InstanceId> members() const = 0;
 };
 
 /// What a controller works with in one step. The state is that of the last committed entry.
--- a/src/controller/controller_role.cpp
+++ b/src/controller/controller_role.cpp
@@ -5,7 +5,10 @@
 
 #include <algorithm>
 #include <deque>
+#include <functional>
+#include <iterator>
 #include <map>
+#include <set>
 #include <type_traits>
 #include <utility>
 
@@ -53,7 +56,8 @@
                       ClaimRequest,
                       ClaimUpdate,
                       BrakeReport,
-                      SessionFenced>;
+                      SessionFenced,
+                      GatewayPoll>;
     },
     aMessage);
 }
@@ -78,6 +82,7 @@
   Context context() { return { options, state, memory, platform, *this, *actions, now, unixMs }; }
 
   void propose(state::Command aCommand, Completion aDone, std::optional<OperatorId> aOperator) override;
+  std::vector<InstanceId> members() const override;
 
   // Does what the replica's outputs ask for until there is none left; completions may add further ones.
   void drain();
@@ -107,7 +112,9 @@
   void on(const OperatorRequest& aEvent);
   void on(const PlatformList& aEvent);
   void stopWhenHandedOver();
+  void on(const UpstreamsRead& aEvent);
   void requestRead();
+  void connectTo(const InstanceId& aController);
 
   ControllerOptions options;
   consensus::Replica replica;
@@ -127,6 +134,7 @@
   std::optional<TimePoint> shutdownAt;
   bool stopped = false;
   bool failed = false;
+  std::set<InstanceId> connected; ///< controllers that a connection was asked for
   std::uint64_t commandsApplied = 0;
   std::uint64_t leaderships = 0;
 };
@@ -144,6 +152,25 @@
   outputs.push_back(std::move(output));
 }
 
+std::vector<InstanceId>
+ControllerRole::Core::members() const
+{
+  std::vector<InstanceId> instances;
+  std::ranges::transform(replica.members(), std::back_inserter(instances), &Member::instance);
+  return instances;
+}
+
+// In a group with open membership no settings name the members, so connections follow what the log and those who ask
+// to join say.
+void
+ControllerRole::Core::connectTo(const InstanceId& aController)
+{
+  if (options.replica.openMembership && aController != options.replica.instance &&
+      connected.insert(aController).second) {
+    actions->emplace_back(Connect{ aController });
+  }
+}
+
 void
 ControllerRole::Core::drain()
 {
@@ -174,6 +201,7 @@
     dropRead(read);
   }
   for (auto& outgoing : aOutput.messages) {
+    connectTo(outgoing.to);
     send(step, { std::move(outgoing.to), Role::kController }, std::move(outgoing.message));
   }
 }
@@ -417,6 +445,15 @@
   platform.everSeen.insert(aEvent.leaving.begin(), aEvent.leaving.end());
 }
 
+void
+ControllerRole::Core::on(const UpstreamsRead& aEvent)
+{
+  const auto text = nlohmann::json(aEvent.upstreams).dump();
+  platform.upstreams = aEvent.upstreams;
+  platform.upstreamsRevision = std::hash<std::string>{}(text);
+  platform.upstreamsReadAt = now;
+}
+
 ControllerRole::ControllerRole(ControllerOptions aOptions, consensus::StoredState aStored, std::mt19937_64 aRandom)
   : mCore(std::make_unique<Core>(std::move(aOptions), std::move(aStored), aRandom))
 {
--- a/src/controller/controllers.cpp
+++ b/src/controller/controllers.cpp
@@ -11,6 +11,7 @@
   Controller{ handleGrants, tickGrants },     Controller{ handleCharges, tickCharges },
   Controller{ handleClaims, tickClaims },     Controller{ handleMoves, tickMoves },
   Controller{ handleOrders, tickOrders },     Controller{ handleExplain, tickExplain },
+  Controller{ handleGateways, tickGateways },
 };
 
 } // namespace
--- a/src/controller/controllers.h
+++ b/src/controller/controllers.h
@@ -67,6 +67,18 @@
 void
 tickOrders(Context& aContext);
 
+/// Gateways: sessions, budgets, the routing document, the platform's list of upstreams.
+bool
+handleGateways(Context& aContext, const Address& aFrom, const Message& aMessage);
+void
+tickGateways(Context& aContext);
+/// Answers a gateway from the state as it is; the caller has confirmed that it is current.
+void
+answerGateway(Context& aContext, const Address& aTo, const GatewayPoll& aPoll);
+/// Tells all gateways of a document that was just committed.
+void
+announceRouting(Context& aContext);
+
 /// Operators: lists, moves and views. A view waits for a quorum-confirmed read, so that an operator never sees a list
 /// older than one already accepted.
 void
--- /dev/null
+++ b/src/controller/gateways.cpp
@@ -0,0 +1,274 @@
+#include "controllers.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace rhubarbarch::controller {
+
+namespace {
+
+const state::GatewaySession*
+findSession(const Context& aContext, const GatewayPoll& aPoll)
+{
+  const auto found = aContext.state.allowances.sessions.find(aPoll.session);
+  const bool own =
+    found != aContext.state.allowances.sessions.end() && found->second.instance == aPoll.instance &&
+    found->second.boot == aPoll.boot;
+  return own ? &found->second : nullptr;
+}
+
+state::Allowance
+allowanceOf(const state::GatewaySession& aSession, const PlanId& aPlan)
+{
+  const auto found = aSession.allowances.find(aPlan);
+  return found == aSession.allowances.end() ? state::Allowance{} : found->second;
+}
+
+Tokens
+unissued(const Context& aContext, const PlanId& aPlan)
+{
+  return state::unissued(
+    aContext.state.allowances, aPlan, state::prepaid(aContext.state.routing.table, aPlan));
+}
+
+/// Opens a session for a new boot; its next poll names it.
+void
+openSession(Context& aContext, const Address& aFrom, const GatewayPoll& aPoll)
+{
+  if (!aContext.memory.gatewaysOpening.insert(aPoll.instance).second) {
+    return;
+  }
+  propose(aContext,
+          state::OpenGateway{ aPoll.instance, aPoll.boot },
+          [aFrom, poll = aPoll](Context& aDone, const state::Outcome& aOutcome) {
+            const auto session = std::get<state::GatewayOutcome>(aOutcome).session;
+            aDone.memory.gatewaysOpening.erase(poll.instance);
+            log(aDone, "gateway_opened", { { "gateway", poll.instance }, { "session", toNumber(session) } });
+            auto answered = poll;
+            answered.session = session;
+            answerGateway(aDone, aFrom, answered);
+          });
+}
+
+bool
+known(const Context& aContext, SessionId aSession, Duration aTime)
+{
+  const auto found = aContext.memory.gateways.find(aSession);
+  return found != aContext.memory.gateways.end() && aContext.now - found->second.lastSeen < aTime;
+}
+
+/// What changes in the replicated budgets because of a poll: tokens given back, and tokens to issue.
+state::ReportAllowances
+changes(const Context& aContext, const state::GatewaySession& aSession, const GatewayPoll& aPoll)
+{
+  state::ReportAllowances report;
+  report.session = aPoll.session;
+  for (const auto& use : aPoll.plans) {
+    const auto allowance = allowanceOf(aSession, use.plan);
+    const bool returns = use.returned > allowance.returned;
+    const bool wants = use.target > state::held(allowance) && unissued(aContext, use.plan) > 0;
+    if (returns || wants) {
+      report.plans.push_back({ use.plan, use.returned, use.spent, use.target });
+    }
+  }
+  return report;
+}
+
+/// Whether a gateway other than `aSession` has requests that wait for tokens of a plan.
+bool
+othersWait(const Context& aContext, SessionId aSession, const PlanId& aPlan)
+{
+  return std::ranges::any_of(aContext.memory.gateways, [&](const auto& aItem) {
+    const auto& [session, gateway] = aItem;
+    return session != aSession && known(aContext, session, aContext.options.gateways.demandKept) &&
+           std::ranges::any_of(gateway.poll.plans, [&](const PlanUse& aUse) {
+             return aUse.plan == aPlan && aUse.waiting > 0;
+           });
+  });
+}
+
+/// Spent and reserved by one session: what it reported to this leader, or what the log holds of one not heard yet.
+Tokens
+used(const Context& aContext, SessionId aSession, const state::GatewaySession& aState, const PlanId& aPlan)
+{
+  const auto replicated = allowanceOf(aState, aPlan).spent;
+  const auto found = aContext.memory.gateways.find(aSession);
+  if (found == aContext.memory.gateways.end()) {
+    return replicated;
+  }
+  const auto& plans = found->second.poll.plans;
+  const auto use = std::ranges::find(plans, aPlan, &PlanUse::plan);
+  return use == plans.end() ? replicated : std::max(replicated, use->spent + use->reserved);
+}
+
+/// Part of the budget that is neither spent nor reserved as far as this leader knows; what sessions hold unused counts
+/// as left, since it can be recalled.
+Tokens
+remaining(const Context& aContext, const PlanAccess& aPlan)
+{
+  const auto& allowances = aContext.state.allowances;
+  const auto closed = allowances.closed.find(aPlan.plan);
+  auto left = aPlan.prepaid;
+  left -= closed == allowances.closed.end() ? 0 : closed->second.spent + closed->second.inDoubt;
+  for (const auto& [id, session] : allowances.sessions) {
+    left -= used(aContext, id, session, aPlan.plan);
+  }
+  return left;
+}
+
+std::vector<PlanAllowance>
+planAllowances(const Context& aContext, SessionId aId, const state::GatewaySession& aSession)
+{
+  std::vector<PlanAllowance> plans;
+  for (const auto& plan : aContext.state.routing.table.plans) {
+    if (plan.prepaid < 0) {
+      continue;
+    }
+    const auto free = unissued(aContext, plan.plan);
+    const bool recall = free < 0 || (free == 0 && othersWait(aContext, aId, plan.plan));
+    plans.push_back(
+      { plan.plan, allowanceOf(aSession, plan.plan).issued, remaining(aContext, plan), recall });
+  }
+  return plans;
+}
+
+std::vector<UpstreamUse>
+othersUse(const Context& aContext, SessionId aSession)
+{
+  std::map<std::string, UpstreamUse> sums;
+  for (const auto& [session, gateway] : aContext.memory.gateways) {
+    if (session == aSession || !known(aContext, session, aContext.options.gateways.lost)) {
+      continue;
+    }
+    for (const auto& use : gateway.poll.upstreams) {
+      auto& sum = sums[use.id];
+      sum.id = use.id;
+      sum.running += use.running;
+      sum.prefillTokens += use.prefillTokens;
+    }
+  }
+  std::vector<UpstreamUse> uses;
+  std::ranges::transform(sums, std::back_inserter(uses), [](const auto& aItem) { return aItem.second; });
+  return uses;
+}
+
+void
+addRouting(GatewayState& aAnswer, const RoutingTable& aTable, const GatewayPoll& aPoll)
+{
+  aAnswer.routingVersion = aTable.version;
+  if (aTable.version > aPoll.routingVersion) {
+    aAnswer.hasRouting = true;
+    aAnswer.routing = aTable;
+  }
+}
+
+void
+addUpstreams(GatewayState& aAnswer, const Context& aContext, const GatewayPoll& aPoll)
+{
+  const auto& platform = aContext.platform;
+  if (!platform.upstreamsReadAt) {
+    return;
+  }
+  aAnswer.upstreamsAgeMs = (aContext.now - *platform.upstreamsReadAt).count();
+  aAnswer.upstreamsRevision = platform.upstreamsRevision;
+  if (platform.upstreamsRevision != aPoll.upstreamsRevision) {
+    aAnswer.hasUpstreams = true;
+    aAnswer.upstreams = platform.upstreams;
+  }
+}
+
+void
+remember(Context& aContext, const Address& aFrom, const GatewayPoll& aPoll)
+{
+  aContext.memory.gateways[aPoll.session] = { aFrom, aContext.now, aPoll };
+}
+
+/// A poll that was overtaken by a later one, or repeated on the way, says nothing new.
+bool
+overtaken(const Context& aContext, const GatewayPoll& aPoll)
+{
+  const auto found = aContext.memory.gateways.find(aPoll.session);
+  return found != aContext.memory.gateways.end() && aPoll.number <= found->second.poll.number;
+}
+
+} // namespace
+
+void
+answerGateway(Context& aContext, const Address& aTo, const GatewayPoll& aPoll)
+{
+  GatewayState answer;
+  answer.instance = aPoll.instance;
+  answer.boot = aPoll.boot;
+  answer.number = aPoll.number;
+  answer.session = aPoll.session;
+  const auto* session = findSession(aContext, aPoll);
+  answer.superseded = session == nullptr;
+  addRouting(answer, aContext.state.routing.table, aPoll);
+  addUpstreams(answer, aContext, aPoll);
+  if (session != nullptr) {
+    answer.plans = planAllowances(aContext, aPoll.session, *session);
+  }
+  answer.othersUse = othersUse(aContext, aPoll.session);
+  answer.controllers = aContext.proposer.members();
+  answer.gateways = static_cast<std::uint32_t>(std::ranges::count_if(aContext.memory.gateways, [&](const auto& aItem) {
+    return known(aContext, aItem.first, aContext.options.gateways.lost);
+  }));
+  send(aContext, aTo, std::move(answer));
+}
+
+void
+announceRouting(Context& aContext)
+{
+  for (const auto& [session, gateway] : aContext.memory.gateways) {
+    if (known(aContext, session, aContext.options.gateways.lost)) {
+      answerGateway(aContext, gateway.from, gateway.poll);
+    }
+  }
+}
+
+bool
+handleGateways(Context& aContext, const Address& aFrom, const Message& aMessage)
+{
+  const auto* poll = std::get_if<GatewayPoll>(&aMessage);
+  if (poll == nullptr) {
+    return false;
+  }
+  if (poll->session == SessionId{}) {
+    openSession(aContext, aFrom, *poll);
+    return true;
+  }
+  if (overtaken(aContext, *poll)) {
+    return true;
+  }
+  const auto* session = findSession(aContext, *poll);
+  if (session == nullptr) {
+    aContext.memory.nextRead.gatewayPolls.push_back({ aFrom, *poll });
+    return true;
+  }
+  remember(aContext, aFrom, *poll);
+  auto report = changes(aContext, *session, *poll);
+  if (report.plans.empty()) {
+    aContext.memory.nextRead.gatewayPolls.push_back({ aFrom, *poll });
+    return true;
+  }
+  // A committed entry proves the leadership as a confirmed read does, and the answer can name what was issued.
+  propose(aContext, std::move(report), [aFrom, answered = *poll](Context& aDone, const state::Outcome& /*aOutcome*/) {
+    answerGateway(aDone, aFrom, answered);
+  });
+  return true;
+}
+
+void
+tickGateways(Context& aContext)
+{
+  const bool reads = aContext.options.gateways.readUpstreams && !aContext.memory.gateways.empty();
+  if (reads && isDue(aContext, aContext.memory.upstreamsAsked, aContext.options.gateways.readPeriod)) {
+    aContext.actions.emplace_back(ReadUpstreams{});
+  }
+  std::erase_if(aContext.memory.gateways, [&](const auto& aItem) {
+    return !aContext.state.allowances.sessions.contains(aItem.first);
+  });
+}
+
+} // namespace rhubarbarch::controller
--- a/src/controller/memory.h
+++ b/src/controller/memory.h
@@ -66,6 +66,20 @@
   TimePoint placed;
 };
 
+/// What the leader knows of a gateway session from its last poll.
+struct GatewayMemory
+{
+  Address from; ///< where its polls come from; a relay when it is cut off
+  TimePoint lastSeen;
+  GatewayPoll poll; ///< the last one
+};
+
+struct PendingGatewayPoll
+{
+  Address from;
+  GatewayPoll poll;
+};
+
 struct PendingPoll
 {
   Address from;
@@ -76,6 +90,7 @@
 struct PendingRead
 {
   std::vector<PendingPoll> polls;
+  std::vector<PendingGatewayPoll> gatewayPolls;
   std::vector<OperatorRequest> shows;
 };
 
@@ -134,6 +149,9 @@
   std::map<OrderKey, SentOrder> orders;
   std::uint64_t orderNumber = 0;
   std::map<std::uint64_t, PendingExplain> explains;
+  std::map<SessionId, GatewayMemory> gateways;
+  std::set<InstanceId> gatewaysOpening; ///< a session is proposed for them
+  TimePoint upstreamsAsked;
   TimePoint expired;
   TimePoint sessionsChecked;
   TimePoint movesChecked;
@@ -148,6 +166,9 @@
   std::set<InstanceId> leaving;
   std::set<InstanceId> everSeen;
   bool received = false;
+  std::vector<UpstreamEntry> upstreams; ///< as last read
+  std::uint64_t upstreamsRevision = 0;  ///< hash of `upstreams`, so that all leaders name equal lists alike
+  std::optional<TimePoint> upstreamsReadAt;
 };
 
 } // namespace rhubarbarch::controller
--- a/src/controller/operators.cpp
+++ b/src/controller/operators.cpp
@@ -120,6 +120,46 @@
   reply(aContext, aId, 200, std::move(view));
 }
 
+void
+answerRouting(Context& aContext, OperatorId aId, std::int64_t aVersion, state::RoutingOutcome aOutcome)
+{
+  const auto held = aContext.state.routing.table.version;
+  log(aContext,
+      "routing_put",
+      { { "version", aVersion }, { "outcome", static_cast<int>(aOutcome) }, { "in_force", held } });
+  if (aOutcome == state::RoutingOutcome::kConflict) {
+    replyError(aContext, aId, 409, "conflict", "other content is in force under this version");
+    return;
+  }
+  if (aOutcome == state::RoutingOutcome::kStored) {
+    announceRouting(aContext);
+  }
+  reply(aContext, aId, 200, { { "version", held } });
+}
+
+void
+run(Context& aContext, OperatorId aId, const PutRouting& aOperation)
+{
+  aContext.proposer.propose(
+    state::StoreRouting{ aOperation.table, aOperation.source, aOperation.digest },
+    [aId, version = aOperation.table.version](Context& aDone, const state::Outcome& aOutcome) {
+      answerRouting(aDone, aId, version, std::get<state::RoutingOutcome>(aOutcome));
+    },
+    aId);
+}
+
+void
+run(Context& aContext, OperatorId aId, const ShowRouting& /*aOperation*/)
+{
+  const auto& routing = aContext.state.routing;
+  if (routing.source.empty()) {
+    replyError(aContext, aId, 404, "not_found", "no routing document has been put yet");
+    return;
+  }
+  OperatorReply shown{ aId, 200, {}, routing.source };
+  aContext.actions.emplace_back(std::move(shown));
+}
+
 std::int64_t
 unixMs(WallTime aTime)
 {
@@ -258,7 +298,8 @@
 {
   const auto& operation = aRequest.operation;
   const bool shows = std::holds_alternative<ShowLists>(operation) || std::holds_alternative<ShowInstances>(operation) ||
-                     std::holds_alternative<ShowMoves>(operation) || std::holds_alternative<ShowPlan>(operation);
+                     std::holds_alternative<ShowMoves>(operation) || std::holds_alternative<ShowPlan>(operation) ||
+                     std::holds_alternative<ShowRouting>(operation);
   if (shows) {
     aContext.memory.nextRead.shows.push_back(aRequest);
   } else {
--- /dev/null
+++ b/src/daemon/control_part.cpp
@@ -0,0 +1,139 @@
+#include "control_part.h"
+
+#include "role_options.h"
+
+#include "../../platform/control_api.h"
+#include "../../platform/instance_list.h"
+
+#include <boost/asio/post.hpp>
+
+#include <utility>
+
+namespace rhubarbarch::daemon {
+
+namespace {
+
+void
+sendAnswer(net::HttpServer& aServer,
+           router::CallerId aCaller,
+           const net::OperatorAnswer& aAnswer,
+           const std::string& aLocation)
+{
+  router::ReplyHead head;
+  head.caller = aCaller;
+  head.httpStatus = aAnswer.status;
+  head.contentType = aAnswer.contentType;
+  head.contentLength = aAnswer.body.size();
+  if (!aLocation.empty()) {
+    head.fields.push_back({ "Location", aLocation });
+  }
+  aServer.reply(head);
+  aServer.reply(router::ReplyBody{ aCaller, aAnswer.body });
+  aServer.reply(router::ReplyEnd{ aCaller });
+}
+
+} // namespace
+
+ControlPart::ControlPart(Process& aProcess)
+  : mProcess(aProcess)
+  , mServer(mThread.context, controlServerOptions(aProcess.settings.controllerSettings.control), events())
+  , mReplies(kLaneCount, kRingEvents, kOverflowMessages, [this] {
+    boost::asio::post(mThread.context, [this] {
+      mReplies.drain([this](const controller::OperatorReply& aReply) { answer(aReply); });
+    });
+  })
+{
+  if (const auto& list = mProcess.settings.upstreamList) {
+    mReader = std::make_unique<platform::InstanceListReader>(
+      mThread.context,
+      *list,
+      [this](std::vector<UpstreamEntry>&& aList) {
+        mProcess.dispatcher.controller->push(kFromOperators, controller::UpstreamsRead{ std::move(aList) });
+      },
+      [this](LogLine&& aLine) { mProcess.log.write(std::move(aLine)); });
+  }
+}
+
+ControlPart::~ControlPart()
+{
+  stop();
+}
+
+net::HttpServerEvents
+ControlPart::events()
+{
+  net::HttpServerEvents events;
+  events.request = [this](router::CallerRequest&& aRequest) { request(std::move(aRequest)); };
+  events.drained = [](const router::CallerDrained&) {};
+  events.gone = [this](const router::CallerGone& aGone) { mTargets.erase(aGone.caller); };
+  events.log = [this](LogLine&& aLine) { mProcess.log.write(std::move(aLine)); };
+  events.congested = [] { return false; };
+  return events;
+}
+
+Result<void>
+ControlPart::listen()
+{
+  return mServer.listen();
+}
+
+void
+ControlPart::start()
+{
+  mThread.start();
+}
+
+void
+ControlPart::stop()
+{
+  mThread.stop();
+}
+
+void
+ControlPart::request(router::CallerRequest&& aRequest)
+{
+  auto operation = platform::decodeOperation(aRequest);
+  if (const auto* refusal = std::get_if<net::OperatorAnswer>(&operation)) {
+    mProcess.log.write({ Severity::kInfo,
+                         "order_refused",
+                         { { "target", aRequest.target }, { "status", refusal->status }, { "detail", refusal->body } } });
+    sendAnswer(mServer, aRequest.caller, *refusal, "");
+    return;
+  }
+  mTargets[aRequest.caller] = aRequest.target;
+  const auto id = static_cast<controller::OperatorId>(toNumber(aRequest.caller));
+  mProcess.dispatcher.controller->push(
+    kFromOperators, controller::OperatorRequest{ id, std::move(std::get<controller::Operation>(operation)) });
+}
+
+void
+ControlPart::reply(controller::OperatorReply&& aReply)
+{
+  mReplies.push(kFromController, std::move(aReply));
+}
+
+void
+ControlPart::answer(const controller::OperatorReply& aReply)
+{
+  const auto caller = static_cast<router::CallerId>(toNumber(aReply.id));
+  const auto target = mTargets.extract(caller);
+  if (target.empty()) {
+    return; // the operator has gone
+  }
+  std::string location;
+  const auto port = mProcess.settings.controllerSettings.control.port;
+  const auto encoded = platform::encodeAnswer(aReply, target.mapped(), port, location);
+  sendAnswer(mServer, caller, encoded, location);
+}
+
+void
+ControlPart::readUpstreams()
+{
+  boost::asio::post(mThread.context, [this] {
+    if (mReader) {
+      mReader->read();
+    }
+  });
+}
+
+} // namespace rhubarbarch::daemon
--- /dev/null
+++ b/src/daemon/control_part.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "parts.h"
+#include "rhubarbarch/net/http_server.h"
+
+#include <map>
+#include <memory>
+
+namespace rhubarbarch::platform {
+class InstanceListReader;
+} // namespace rhubarbarch::platform
+
+namespace rhubarbarch::daemon {
+
+/// The interface of the platform's operator and the reader of the platform's list, with their thread.
+class ControlPart
+{
+public:
+  explicit ControlPart(Process& aProcess);
+  ~ControlPart();
+  ControlPart(const ControlPart&) = delete;
+  ControlPart& operator=(const ControlPart&) = delete;
+
+  /// @return kIo when the port cannot be used
+  Result<void> listen();
+  void start();
+  void stop();
+  /// Answers an operator; on the thread of the controller role.
+  void reply(controller::OperatorReply&& aReply);
+  /// Reads the platform's list for the controller; any thread.
+  void readUpstreams();
+
+private:
+  net::HttpServerEvents events();
+  void request(router::CallerRequest&& aRequest);
+  void answer(const controller::OperatorReply& aReply);
+
+  Process& mProcess;
+  IoThread mThread;
+  net::HttpServer mServer;
+  net::Inbox<controller::OperatorReply> mReplies;
+  std::map<router::CallerId, std::string> mTargets; ///< of the requests in progress
+  std::unique_ptr<platform::InstanceListReader> mReader;
+};
+
+} // namespace rhubarbarch::daemon
--- a/src/daemon/controller_part.cpp
+++ b/src/daemon/controller_part.cpp
@@ -97,6 +97,13 @@
 
   void run(controller::OperatorReply&& aAnswer) { mReply(std::move(aAnswer)); }
   void run(const controller::Persist& /*unused*/) {}
+  void run(controller::Connect&& aConnect)
+  {
+    auto endpoint = aConnect.controller;
+    mProcess.dispatcher.peers->push(
+      kFromController, ConnectPeer{ { std::move(aConnect.controller), Role::kController }, std::move(endpoint) });
+  }
+  void run(const controller::ReadUpstreams& /*unused*/) { mProcess.readUpstreams(); }
   void run(controller::Log&& aLog) { mProcess.log.write(std::move(aLog.line)); }
   void run(const controller::Stopped& /*unused*/) { mProcess.stopped(Role::kController); }
 
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -1,5 +1,6 @@
 #include "daemon.h"
 
+#include "control_part.h"
 #include "operator_part.h"
 #include "parts.h"
 #include "peer_part.h"
@@ -45,7 +46,12 @@
                drawBoot(),
                {},
                [this](Role aRole) { boost::asio::post(main, [this, aRole] { stopped(aRole); }); },
-               [this] { boost::asio::post(main, [this] { finish(kFailed); }); } }
+               [this] { boost::asio::post(main, [this] { finish(kFailed); }); },
+               [this] {
+                 if (control) {
+                   control->readUpstreams();
+                 }
+               } }
   {
   }
 
@@ -60,7 +66,14 @@
     process.endpoint = peers->endpoint();
     operators = std::make_unique<OperatorPart>(process, [this] { return ready(); }, [this] { return metrics(); });
     BOOST_OUTCOME_TRY(operators->listen());
+    if (settings.controller && settings.controllerSettings.control.port != 0) {
+      control = std::make_unique<ControlPart>(process);
+      BOOST_OUTCOME_TRY(control->listen());
+    }
     // In the order of their graceful shutdown.
+    if (settings.gateway) {
+      BOOST_OUTCOME_TRY(add(makeGatewayPart(process)));
+    }
     if (settings.router) {
       BOOST_OUTCOME_TRY(add(makeRouterPart(process)));
     }
@@ -68,7 +81,14 @@
       parts.push_back(makeAgentPart(process));
     }
     if (settings.controller) {
-      auto reply = [this](controller::OperatorReply&& aReply) { operators->reply(std::move(aReply)); };
+      // One of the two interfaces is served; the ids of their requests are not told apart.
+      auto reply = [this](controller::OperatorReply&& aReply) {
+        if (control) {
+          control->reply(std::move(aReply));
+        } else {
+          operators->reply(std::move(aReply));
+        }
+      };
       BOOST_OUTCOME_TRY(add(makeControllerPart(process, std::move(reply))));
     }
     return boost::outcome_v2::success();
@@ -89,6 +109,9 @@
     dispatcher.introduceRoles(kFromMain);
     log.write({ Severity::kInfo, "started", { { "boot", toNumber(process.boot) } } });
     operators->start();
+    if (control) {
+      control->start();
+    }
     peers->start();
     std::ranges::for_each(parts, [](const auto& aPart) { aPart->start(); });
     main.run();
@@ -177,6 +200,9 @@
   void stopThreads()
   {
     std::ranges::for_each(parts, [](const auto& aPart) { aPart->stop(); });
+    if (control) {
+      control->stop();
+    }
     if (operators) {
       operators->stop();
     }
@@ -215,6 +241,7 @@
   Process process;
   std::unique_ptr<PeerPart> peers;
   std::unique_ptr<OperatorPart> operators;
+  std::unique_ptr<ControlPart> control; ///< null: not served
   std::vector<std::unique_ptr<RolePart>> parts;
 };
 
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -1,5 +1,7 @@
 #include "daemon.h"
 
+#include "../../platform/node_file.h"
+
 #include "rhubarbarch/net/log_writer.h"
 #include "rhubarbarch/settings/settings.h"
 
@@ -7,9 +9,11 @@
 #include <glog/logging.h>
 
 #include <csignal>
+#include <cstdio>
 #include <iostream>
 
 DEFINE_string(settings, "", "YAML settings file of this process");
+DEFINE_bool(platform, false, "take the settings from the file that the users' platform names in the environment");
 DEFINE_bool(check, false, "only check the settings file and exit");
 
 namespace {
@@ -18,10 +22,18 @@
 
 using rhubarbarch::daemon::Daemon;
 
+void
+writeToStandardOutput(const std::string& aLine)
+{
+  const auto line = aLine + "\n";
+  std::fwrite(line.data(), 1, line.size(), stdout);
+  std::fflush(stdout);
+}
+
 int
 serve(const rhubarbarch::settings::Settings& aSettings)
 {
-  rhubarbarch::net::LogWriter log(aSettings.instance);
+  rhubarbarch::net::LogWriter log(aSettings.instance, writeToStandardOutput);
   Daemon daemon(aSettings, log);
   const auto opened = daemon.open();
   if (!opened) {
@@ -36,10 +48,11 @@
 int
 main(int aCount, char** aArguments)
 {
-  gflags::SetUsageMessage("--settings FILE [--check]");
+  gflags::SetUsageMessage("--settings FILE [--check] | --platform");
   gflags::SetVersionString(kVersion);
   gflags::ParseCommandLineFlags(&aCount, &aArguments, true);
-  const auto settings = rhubarbarch::settings::loadSettings(FLAGS_settings);
+  const auto settings = FLAGS_platform ? rhubarbarch::platform::loadNodeFile()
+                                       : rhubarbarch::settings::loadSettings(FLAGS_settings);
   if (!settings) {
     std::cerr << "rhubarbarchd: " << settings.error().detail << "\n";
     return rhubarbarch::daemon::kBadSettings;
--- a/src/daemon/parts.h
+++ b/src/daemon/parts.h
@@ -24,6 +24,7 @@
   std::string endpoint;              ///< `ip:port` of the peer listener in use
   std::function<void(Role)> stopped; ///< the graceful shutdown of a role is complete; any thread
   std::function<void()> failed;      ///< the process must end with an error; any thread
+  std::function<void()> readUpstreams; ///< read the platform's list for the controller; any thread
 };
 
 /// One role with its threads and servers. All members are called on the main thread unless they say otherwise.
@@ -50,6 +51,11 @@
 Result<std::unique_ptr<RolePart>>
 makeRouterPart(Process& aProcess);
 
+/// Opens the listeners for callers and for the balancer, and builds the gateway role.
+/// @return kIo when a port cannot be used
+Result<std::unique_ptr<RolePart>>
+makeGatewayPart(Process& aProcess);
+
 /// Builds the agent role with the client of its upstream.
 std::unique_ptr<RolePart>
 makeAgentPart(Process& aProcess);
--- a/src/daemon/peer_part.cpp
+++ b/src/daemon/peer_part.cpp
@@ -28,7 +28,9 @@
   options.listenIp = settings.peer.listen.address;
   options.listenPort = settings.peer.listen.port;
   options.sharedKey = settings.peer.sharedKey;
-  if (settings.router) {
+  options.heartbeat = settings.peer.heartbeat;
+  options.silence = settings.peer.silence;
+  if (settings.router || settings.gateway) {
     options.roles.push_back(Role::kRouter);
   }
   if (settings.agent) {
--- a/src/daemon/role_dispatcher.cpp
+++ b/src/daemon/role_dispatcher.cpp
@@ -19,7 +19,9 @@
 void
 RoleDispatcher::deliver(Lane aLane, Envelope aEnvelope)
 {
-  if (aEnvelope.to.role == Role::kRouter && router != nullptr) {
+  if (aEnvelope.to.role == Role::kRouter && gateway != nullptr) {
+    gateway->pushUnlessFull(aLane, router::PeerMessage{ std::move(aEnvelope.from), std::move(aEnvelope.message) });
+  } else if (aEnvelope.to.role == Role::kRouter && router != nullptr) {
     router->pushUnlessFull(aLane, router::PeerMessage{ std::move(aEnvelope.from), std::move(aEnvelope.message) });
   } else if (aEnvelope.to.role == Role::kAgent && agent != nullptr) {
     agent->pushUnlessFull(aLane, agent::PeerMessage{ std::move(aEnvelope.from), std::move(aEnvelope.message) });
--- a/src/daemon/role_dispatcher.h
+++ b/src/daemon/role_dispatcher.h
@@ -2,6 +2,7 @@
 
 #include "lanes.h"
 #include "rhubarbarch/base/ids.h"
+#include "rhubarbarch/gateway/events.h"
 #include "rhubarbarch/wire/message.h"
 
 #include <functional>
@@ -34,6 +35,7 @@
   std::vector<Role> roles() const;
 
   net::Inbox<router::Event>* router = nullptr;
+  net::Inbox<gateway::Event>* gateway = nullptr; ///< takes the router's place in a process with a gateway
   net::Inbox<agent::Event>* agent = nullptr;
   net::Inbox<controller::Event>* controller = nullptr;
   net::Inbox<PeerCommand>* peers = nullptr;
--- a/src/daemon/role_options.cpp
+++ b/src/daemon/role_options.cpp
@@ -61,12 +61,30 @@
   options.replica.instance = aSettings.instance;
   options.replica.controllers = controllerNames(aSettings);
   options.replica.bootstrap = aSettings.controllerSettings.bootstrap;
+  options.replica.openMembership = aSettings.controllerSettings.openMembership;
+  options.gateways.readUpstreams = aSettings.upstreamList.has_value();
   options.moves.loadTime = aSettings.controllerSettings.versionLoadTime;
   options.moves.parallelLoads = static_cast<std::int32_t>(aSettings.controllerSettings.parallelLoads);
   options.moves.watchPeriod = aSettings.controllerSettings.moveWatchTime;
   return options;
 }
 
+gateway::GatewayOptions
+gatewayOptions(const settings::Settings& aSettings, const std::string& aEndpoint)
+{
+  gateway::GatewayOptions options;
+  options.instance = aSettings.instance;
+  options.dataCentre = aSettings.dataCentre;
+  options.endpoint = aEndpoint;
+  options.controllers = controllerNames(aSettings);
+  options.maxHeldBytes = aSettings.caller.maxHeldBytes;
+  options.retryRatio = aSettings.gatewaySettings.retryRatio;
+  options.retrySlack = aSettings.gatewaySettings.retrySlack;
+  options.retryWindow = aSettings.gatewaySettings.retryWindow;
+  options.longestLeave = std::min(options.longestLeave, aSettings.shutdownTimeout);
+  return options;
+}
+
 net::HttpServerOptions
 callerServerOptions(const settings::CallerSettings& aSettings)
 {
@@ -80,6 +98,18 @@
   return options;
 }
 
+net::HttpServerOptions
+controlServerOptions(const settings::Endpoint& aListen)
+{
+  net::HttpServerOptions options;
+  options.name = "control";
+  options.listen = aListen;
+  options.maxBodyBytes = kMaxOperatorBody;
+  options.maxConnections = kMaxOperatorConnections;
+  options.passFields = true;
+  return options;
+}
+
 net::HttpServerOptions
 operatorServerOptions(const settings::OperatorSettings& aSettings)
 {
--- a/src/daemon/role_options.h
+++ b/src/daemon/role_options.h
@@ -2,6 +2,7 @@
 
 #include "rhubarbarch/agent/options.h"
 #include "rhubarbarch/controller/options.h"
+#include "rhubarbarch/gateway/options.h"
 #include "rhubarbarch/net/http_server.h"
 #include "rhubarbarch/router/options.h"
 #include "rhubarbarch/settings/settings.h"
@@ -21,6 +22,13 @@
 controller::ControllerOptions
 controllerOptions(const settings::Settings& aSettings);
 
+gateway::GatewayOptions
+gatewayOptions(const settings::Settings& aSettings, const std::string& aEndpoint);
+
+/// Server for the platform's operator.
+net::HttpServerOptions
+controlServerOptions(const settings::Endpoint& aListen);
+
 net::HttpServerOptions
 callerServerOptions(const settings::CallerSettings& aSettings);
 
--- /dev/null
+++ b/src/gateway/control.cpp
@@ -0,0 +1,216 @@
+#include "state.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace rhubarbarch::gateway {
+
+namespace {
+
+/// Pause after a controller said that it knows no leader: an election is under way.
+constexpr Duration kNoLeaderPause{ 50 };
+
+const std::string&
+currentController(const ControlLink& aLink)
+{
+  return aLink.controllers[aLink.current % aLink.controllers.size()];
+}
+
+void
+choose(State& aState, std::size_t aController, Duration aPause)
+{
+  auto& link = aState.link;
+  link.current = aController % std::max<std::size_t>(link.controllers.size(), 1);
+  link.triedSince = aState.now;
+  link.pollAt = aState.now + aPause;
+}
+
+void
+sendPoll(State& aState)
+{
+  auto& link = aState.link;
+  GatewayPoll poll;
+  poll.instance = aState.options.instance;
+  poll.boot = aState.boot;
+  poll.session = link.session;
+  poll.number = ++link.polls;
+  poll.endpoint = aState.options.endpoint;
+  poll.routingVersion = aState.index ? aState.index->table.version : 0;
+  poll.upstreamsRevision = aState.upstreams.revision;
+  poll.leaving = aState.leavingSince.has_value();
+  poll.plans = reportUse(aState.budgets, aState.options.allowanceWindow, poll.leaving);
+  poll.upstreams = reportCalls(aState.upstreams);
+  aState.actions.emplace_back(Send{ { currentController(link), Role::kController }, std::move(poll) });
+  link.polledAt = aState.now;
+  link.pollAt = aState.now + aState.options.pollPeriod;
+}
+
+void
+rotateOnSilence(State& aState)
+{
+  auto& link = aState.link;
+  const auto heard = std::max(link.triedSince, link.answeredAt.value_or(TimePoint{}));
+  if (aState.now - heard >= aState.options.controllerSilence) {
+    log(aState, Severity::kWarning, "controller_silent", { { "controller", currentController(link) } });
+    choose(aState, link.current + 1, Duration{ 0 });
+  }
+}
+
+void
+readListIfStale(State& aState)
+{
+  auto& link = aState.link;
+  const auto age = aState.now - aState.upstreams.listedAt;
+  const bool stale = aState.index && (!aState.upstreams.received || age >= aState.options.listAge);
+  if (stale && aState.now - link.listAskedAt >= aState.options.listRetry) {
+    link.listAskedAt = aState.now;
+    aState.actions.emplace_back(ReadUpstreams{});
+  }
+}
+
+void
+adoptControllers(State& aState, const std::vector<std::string>& aControllers)
+{
+  auto& link = aState.link;
+  if (aControllers.empty() || aControllers == link.controllers) {
+    return;
+  }
+  const auto current = currentController(link);
+  for (const auto& controller : aControllers) {
+    aState.actions.emplace_back(Connect{ { controller, Role::kController }, controller });
+  }
+  link.controllers = aControllers;
+  const auto found = std::ranges::find(link.controllers, current);
+  link.current = found == link.controllers.end() ? 0 : static_cast<std::size_t>(found - link.controllers.begin());
+}
+
+void
+adoptRouting(State& aState, const RoutingTable& aTable)
+{
+  if (aState.index && aState.index->table.version >= aTable.version) {
+    return;
+  }
+  aState.index = makeRouteIndex(aTable);
+  aState.actions.emplace_back(LimitCallers{ aTable.limits });
+  log(aState, Severity::kInfo, "routing_in_force", { { "version", aTable.version }, { "routes", aTable.routes.size() } });
+}
+
+void
+endSession(State& aState)
+{
+  log(aState, Severity::kWarning, "session_ended", { { "session", toNumber(aState.link.session) } });
+  aState.link.session = SessionId{};
+  aState.link.pollAt = aState.now;
+  for (auto& [plan, budget] : aState.budgets.plans) {
+    budget.issued = budget.returned = budget.spent = 0;
+  }
+}
+
+void
+adoptPlans(State& aState, const GatewayState& aAnswer)
+{
+  for (const auto& plan : aAnswer.plans) {
+    apply(aState.budgets.plans[plan.plan], plan, aState.now);
+  }
+}
+
+void
+onState(State& aState, const GatewayState& aAnswer)
+{
+  auto& link = aState.link;
+  if (aAnswer.instance != aState.options.instance || aAnswer.boot != aState.boot) {
+    return;
+  }
+  link.answeredAt = aState.now;
+  link.answered = std::max(link.answered, aAnswer.number);
+  link.gateways = std::max<std::uint32_t>(aAnswer.gateways, 1);
+  adoptControllers(aState, aAnswer.controllers);
+  if (aAnswer.hasRouting) {
+    adoptRouting(aState, aAnswer.routing);
+  }
+  if (aAnswer.upstreamsAgeMs >= 0) {
+    const auto readAt = aState.now - Duration(aAnswer.upstreamsAgeMs);
+    if (aAnswer.hasUpstreams && readAt >= aState.upstreams.listedAt) {
+      applyUpstreams(aState, aAnswer.upstreams, readAt);
+      aState.upstreams.revision = aAnswer.upstreamsRevision;
+    } else if (aAnswer.upstreamsRevision == aState.upstreams.revision) {
+      aState.upstreams.listedAt = std::max(aState.upstreams.listedAt, readAt);
+    }
+  }
+  applyOthers(aState.upstreams, aAnswer.othersUse);
+  if (link.session == SessionId{} && !aAnswer.superseded && aAnswer.session != SessionId{}) {
+    link.session = aAnswer.session;
+    link.pollAt = aState.now;
+  }
+  if (aAnswer.session != link.session) {
+    return;
+  }
+  if (aAnswer.superseded) {
+    endSession(aState);
+    return;
+  }
+  adoptPlans(aState, aAnswer);
+  serveWaiting(aState);
+}
+
+void
+onNotLeader(State& aState, const InstanceId& aFrom, const NotLeader& aHint)
+{
+  auto& link = aState.link;
+  if (currentController(link) != aFrom) {
+    return;
+  }
+  const auto found = std::ranges::find(link.controllers, aHint.leader);
+  if (found != link.controllers.end() && aHint.leader != aFrom) {
+    choose(aState, static_cast<std::size_t>(found - link.controllers.begin()), Duration{ 0 });
+  } else {
+    choose(aState, link.current + 1, kNoLeaderPause);
+  }
+}
+
+} // namespace
+
+void
+tickControl(State& aState)
+{
+  if (aState.link.controllers.empty()) {
+    return;
+  }
+  updateDemand(aState.budgets, aState.now);
+  rotateOnSilence(aState);
+  readListIfStale(aState);
+  if (aState.now >= aState.link.pollAt) {
+    sendPoll(aState);
+  }
+}
+
+void
+pollSoon(State& aState)
+{
+  auto& link = aState.link;
+  link.pollAt = std::min(link.pollAt, std::max(aState.now, link.polledAt + aState.options.shortestPoll));
+  if (link.pollAt <= aState.now && !link.controllers.empty()) {
+    sendPoll(aState);
+  }
+}
+
+void
+handlePeer(State& aState, const PeerMessage& aMessage)
+{
+  if (const auto* answer = std::get_if<GatewayState>(&aMessage.message)) {
+    onState(aState, *answer);
+  } else if (const auto* hint = std::get_if<NotLeader>(&aMessage.message)) {
+    onNotLeader(aState, aMessage.from.instance, *hint);
+  }
+}
+
+void
+applyUpstreams(State& aState, const std::vector<UpstreamEntry>& aList, TimePoint aReadAt)
+{
+  applyList(aState.upstreams, aList, aReadAt, aState.now);
+  const auto leaving = std::ranges::count_if(aList, &UpstreamEntry::leaving);
+  log(aState, Severity::kInfo, "upstreams_listed", { { "upstreams", aList.size() }, { "leaving", leaving } });
+}
+
+} // namespace rhubarbarch::gateway
--- /dev/null
+++ b/src/gateway/finish.cpp
@@ -0,0 +1,158 @@
+#include "state.h"
+
+#include "rhubarbarch/router/refusal.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace rhubarbarch::gateway {
+
+namespace {
+
+constexpr std::int32_t kBadGateway = 502;
+constexpr std::int32_t kTimedOut = 504;
+constexpr std::int32_t kUnavailable = 503;
+
+/// Tokens that the request cost: its prompt once if it may have run, and the output that was passed on.
+Tokens
+cost(const Request& aRequest)
+{
+  if (aRequest.mayHaveRun <= 0) {
+    return 0;
+  }
+  const auto output = aRequest.stream.events() * std::max<Tokens>(aRequest.service->engine.eventTokens, 1);
+  return aRequest.call.promptTokens + std::min(output, aRequest.call.maxOutputTokens);
+}
+
+/// A status that promises that the request did not run is only said when that is proved.
+std::int32_t
+provedStatus(const Request& aRequest, std::int32_t aStatus)
+{
+  if (aRequest.mayHaveRun > 0) {
+    return aStatus == kTimedOut ? kTimedOut : kBadGateway;
+  }
+  return aStatus == kTimedOut ? kUnavailable : aStatus;
+}
+
+void
+logEnd(State& aState, const Request& aRequest, const char* aEvent, std::int32_t aStatus, const char* aError)
+{
+  const auto& attempt = aRequest.attempt;
+  log(aState,
+      Severity::kInfo,
+      aEvent,
+      { { "request", aRequest.call.requestId },
+        { "route", aRequest.route == nullptr ? "" : aRequest.route->name },
+        { "plan", aRequest.plan },
+        { "status", aStatus },
+        { "error", aError },
+        { "upstream", attempt ? attempt->upstreamId : "" },
+        { "sends", aRequest.sends },
+        { "may_have_run", aRequest.mayHaveRun },
+        { "events", aRequest.stream.events() },
+        { "expected_ms", attempt ? attempt->expected.count() : 0 },
+        { "total_ms", (aState.now - aRequest.arrivedAt).count() },
+        { "routing", aRequest.index ? aRequest.index->table.version : 0 },
+        { "list_age_ms", (aState.now - aState.upstreams.listedAt).count() } });
+}
+
+} // namespace
+
+void
+giveUp(State& aState, CallerId aCaller, const GiveUp& aReason)
+{
+  auto& request = aState.requests.at(aCaller);
+  const auto status = provedStatus(request, aReason.status);
+  logEnd(aState, request, request.headSent ? "aborted" : "refused", status, aReason.error);
+  dropAttempt(aState, request, true);
+  if (request.headSent) {
+    ++aState.totals.aborted;
+    aState.actions.emplace_back(ReplyAbort{ aCaller });
+  } else {
+    ++aState.totals.refusals[status];
+    const auto ran = request.mayHaveRun > 0 ? Ran::kUnknown : Ran::kNo;
+    const router::Refusal refusal{ status, aReason.error, "", ran, aReason.retryAfter };
+    auto body = router::refusalBody(refusal, request.call.requestId);
+    ReplyHead head;
+    head.caller = aCaller;
+    head.httpStatus = status;
+    head.fields.push_back({ "Content-Type", "application/json" });
+    head.retryAfter = aReason.retryAfter;
+    head.contentLength = body.size();
+    aState.actions.emplace_back(std::move(head));
+    aState.actions.emplace_back(ReplyBody{ aCaller, std::move(body) });
+    aState.actions.emplace_back(ReplyEnd{ aCaller });
+  }
+  erase(aState, aCaller);
+}
+
+void
+passOn(State& aState, Request& aRequest)
+{
+  const auto caller = aRequest.call.caller;
+  const auto& answer = *aRequest.attempt->head;
+  logEnd(aState, aRequest, "answered", answer.status, "");
+  ++aState.totals.served;
+  ReplyHead head;
+  head.caller = caller;
+  head.httpStatus = answer.status;
+  head.fields = answer.fields;
+  head.contentLength = aRequest.body.size();
+  aState.actions.emplace_back(std::move(head));
+  if (!aRequest.body.empty()) {
+    aState.actions.emplace_back(ReplyBody{ caller, std::move(aRequest.body) });
+  }
+  aState.actions.emplace_back(ReplyEnd{ caller });
+  dropAttempt(aState, aRequest, false);
+  erase(aState, caller);
+}
+
+void
+sendStreamHead(State& aState, Request& aRequest)
+{
+  if (std::exchange(aRequest.headSent, true)) {
+    return;
+  }
+  const auto& answer = *aRequest.attempt->head;
+  ReplyHead head;
+  head.caller = aRequest.call.caller;
+  head.httpStatus = answer.status;
+  head.fields = answer.fields;
+  head.chunked = true;
+  aState.actions.emplace_back(std::move(head));
+  log(aState,
+      Severity::kInfo,
+      "first_event",
+      { { "request", aRequest.call.requestId },
+        { "upstream", aRequest.attempt->upstreamId },
+        { "after_ms", (aState.now - aRequest.arrivedAt).count() },
+        { "expected_ms", aRequest.attempt->expected.count() } });
+}
+
+void
+endStream(State& aState, Request& aRequest)
+{
+  const auto caller = aRequest.call.caller;
+  sendStreamHead(aState, aRequest);
+  logEnd(aState, aRequest, "answered", aRequest.attempt->head->status, "");
+  ++aState.totals.served;
+  aState.actions.emplace_back(ReplyEnd{ caller });
+  dropAttempt(aState, aRequest, false);
+  erase(aState, caller);
+}
+
+void
+erase(State& aState, CallerId aCaller)
+{
+  const auto found = aState.requests.find(aCaller);
+  auto& request = found->second;
+  if (request.reserved) {
+    settle(aState.budgets.plans[request.plan], request.worstCase, cost(request));
+  }
+  aState.heldBytes -= request.call.body->size();
+  aState.requests.erase(found);
+}
+
+} // namespace rhubarbarch::gateway
--- /dev/null
+++ b/src/gateway/gateway_role.cpp
@@ -0,0 +1,149 @@
+#include "rhubarbarch/gateway/gateway_role.h"
+
+#include "state.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace rhubarbarch::gateway {
+
+namespace {
+
+void
+begin(State& aState)
+{
+  if (std::exchange(aState.started, true)) {
+    return;
+  }
+  aState.link.triedSince = aState.now;
+  aState.budgets.demandUpdatedAt = aState.now;
+  for (const auto& controller : aState.link.controllers) {
+    aState.actions.emplace_back(Connect{ { controller, Role::kController }, controller });
+  }
+}
+
+bool
+reportedAll(const State& aState)
+{
+  const bool returned = std::ranges::all_of(
+    aState.budgets.plans, [](const auto& aItem) { return freeTokens(aItem.second) <= 0; });
+  return returned && aState.link.answered == aState.link.polls;
+}
+
+void
+stopWhenLeft(State& aState)
+{
+  if (!aState.leavingSince || aState.stopped) {
+    return;
+  }
+  const auto left = aState.now - *aState.leavingSince;
+  const bool done = left >= aState.options.shortestLeave && aState.requests.empty() && reportedAll(aState);
+  if (done || left >= aState.options.longestLeave) {
+    aState.stopped = true;
+    aState.actions.emplace_back(Stopped{});
+  }
+}
+
+struct Handler
+{
+  State& state;
+
+  void operator()(const CallerCall& aEvent) const { accept(state, aEvent); }
+  void operator()(const CallerDrained& aEvent) const { onCallerDrained(state, aEvent); }
+  void operator()(const CallerGone& aEvent) const { onCallerGone(state, aEvent.caller); }
+  void operator()(const UpstreamHead& aEvent) const { onHead(state, aEvent); }
+  void operator()(const UpstreamData& aEvent) const { onData(state, aEvent); }
+  void operator()(const UpstreamEnd& aEvent) const { onEnd(state, aEvent); }
+  void operator()(const UpstreamError& aEvent) const { onError(state, aEvent); }
+  void operator()(const UpstreamsRead& aEvent) const
+  {
+    applyUpstreams(state, aEvent.upstreams, state.now);
+    state.upstreams.revision = 0;
+  }
+  void operator()(const PeerMessage& aEvent) const { handlePeer(state, aEvent); }
+  void operator()(const PeerUp& /*aEvent*/) const {}
+  void operator()(const PeerDown& /*aEvent*/) const {}
+  void operator()(const Tick& /*aEvent*/) const
+  {
+    tickControl(state);
+    tickRequests(state);
+    stopWhenLeft(state);
+  }
+  void operator()(const Shutdown& /*aEvent*/) const
+  {
+    if (!state.leavingSince) {
+      state.leavingSince = state.now;
+    }
+  }
+};
+
+} // namespace
+
+void
+log(State& aState, Severity aSeverity, std::string aEvent, nlohmann::json aFields)
+{
+  aState.actions.emplace_back(Log{ { aSeverity, std::move(aEvent), std::move(aFields) } });
+}
+
+Upstream*
+findUpstream(State& aState, const std::string& aId)
+{
+  const auto found = aState.upstreams.byId.find(aId);
+  return found == aState.upstreams.byId.end() ? nullptr : &found->second;
+}
+
+GatewayRole::GatewayRole(GatewayOptions aOptions, Boot aBoot, std::mt19937_64 aRandom)
+  : mState(std::make_unique<State>())
+{
+  mState->boot = aBoot;
+  mState->random = aRandom;
+  mState->link.controllers = aOptions.controllers;
+  mState->options = std::move(aOptions);
+}
+
+GatewayRole::~GatewayRole() = default;
+GatewayRole::GatewayRole(GatewayRole&&) noexcept = default;
+GatewayRole&
+GatewayRole::operator=(GatewayRole&&) noexcept = default;
+
+Actions
+GatewayRole::handle(const Event& aEvent, TimePoint aNow)
+{
+  mState->now = aNow;
+  begin(*mState);
+  std::visit(Handler{ *mState }, aEvent);
+  return std::exchange(mState->actions, {});
+}
+
+bool
+GatewayRole::ready() const noexcept
+{
+  return mState->index && mState->upstreams.received && !mState->leavingSince;
+}
+
+Metrics
+GatewayRole::metrics() const
+{
+  const auto& state = *mState;
+  const auto number = [](auto aCount) { return static_cast<double>(aCount); };
+  Metrics metrics{ { "rhubarbarch_gateway_requests_total", "", number(state.totals.requests) },
+                   { "rhubarbarch_gateway_served_total", "", number(state.totals.served) },
+                   { "rhubarbarch_gateway_aborted_total", "", number(state.totals.aborted) },
+                   { "rhubarbarch_gateway_callers_gone_total", "", number(state.totals.callersGone) },
+                   { "rhubarbarch_gateway_retries_total", "", number(state.totals.retries) },
+                   { "rhubarbarch_gateway_requests", "", number(state.requests.size()) },
+                   { "rhubarbarch_gateway_held_bytes", "", number(state.heldBytes) },
+                   { "rhubarbarch_gateway_upstreams", "", number(state.upstreams.byId.size()) },
+                   { "rhubarbarch_gateway_routing_version",
+                     "",
+                     number(state.index ? state.index->table.version : 0) } };
+  for (const auto& [status, count] : state.totals.refusals) {
+    metrics.push_back(
+      { "rhubarbarch_gateway_refusals_total", "status=\"" + std::to_string(status) + "\"", number(count) });
+  }
+  return metrics;
+}
+
+} // namespace rhubarbarch::gateway
--- /dev/null
+++ b/src/gateway/plan_budgets.cpp
@@ -0,0 +1,107 @@
+#include "plan_budgets.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace rhubarbarch::gateway {
+
+namespace {
+
+/// Period in which demand is counted before the rate is updated.
+constexpr Duration kDemandPeriod{ 500 };
+/// Weight of the newest period when demand falls; a rise counts at once, so that a burst is covered.
+constexpr double kDemandDecay = 0.2;
+/// Tokens held beyond the target before they are given back, as a share of the target: each return is a log entry.
+constexpr Tokens kReturnDivisor = 2;
+/// Older words of the leader on the remaining budget prove nothing.
+constexpr Duration kRemainingKept{ 1000 };
+
+Tokens
+windowTokens(const PlanBudget& aBudget, Duration aWindow)
+{
+  const auto seconds = std::chrono::duration<double>(aWindow).count();
+  return static_cast<Tokens>(aBudget.demandPerSecond * seconds);
+}
+
+void
+giveBack(PlanBudget& aBudget, Tokens aKept) noexcept
+{
+  aBudget.returned += std::max<Tokens>(freeTokens(aBudget) - aKept, 0);
+}
+
+} // namespace
+
+void
+noteDemand(PlanBudget& aBudget, Tokens aTokens) noexcept
+{
+  aBudget.demandNow += aTokens;
+}
+
+bool
+reserve(PlanBudget& aBudget, Tokens aTokens) noexcept
+{
+  if (freeTokens(aBudget) < aTokens) {
+    return false;
+  }
+  aBudget.reserved += aTokens;
+  return true;
+}
+
+void
+settle(PlanBudget& aBudget, Tokens aReserved, Tokens aSpent) noexcept
+{
+  aBudget.reserved -= aReserved;
+  aBudget.spent += std::min(aSpent, aReserved);
+}
+
+void
+apply(PlanBudget& aBudget, const PlanAllowance& aAllowance, TimePoint aNow) noexcept
+{
+  aBudget.issued = std::max(aBudget.issued, aAllowance.issued);
+  aBudget.remaining = aAllowance.remaining;
+  aBudget.remainingKnown = true;
+  aBudget.remainingAt = aNow;
+  if (aAllowance.recall) {
+    giveBack(aBudget, aBudget.waiting);
+  }
+}
+
+void
+updateDemand(PlanBudgets& aBudgets, TimePoint aNow)
+{
+  const auto passed = aNow - aBudgets.demandUpdatedAt;
+  if (passed < kDemandPeriod) {
+    return;
+  }
+  aBudgets.demandUpdatedAt = aNow;
+  const auto seconds = std::chrono::duration<double>(passed).count();
+  for (auto& [plan, budget] : aBudgets.plans) {
+    const auto rate = static_cast<double>(budget.demandNow) / seconds;
+    const auto smoothed = (1 - kDemandDecay) * budget.demandPerSecond + kDemandDecay * rate;
+    budget.demandPerSecond = std::max(smoothed, std::min(rate, 2 * smoothed + rate / 2));
+    budget.demandNow = 0;
+  }
+}
+
+std::vector<PlanUse>
+reportUse(PlanBudgets& aBudgets, Duration aWindow, bool aLeaving)
+{
+  std::vector<PlanUse> uses;
+  for (auto& [plan, budget] : aBudgets.plans) {
+    const auto window = aLeaving ? 0 : std::max(windowTokens(budget, aWindow), budget.waiting);
+    if (freeTokens(budget) > window + window / kReturnDivisor) {
+      giveBack(budget, window);
+    }
+    const auto target = budget.spent + budget.reserved + window;
+    uses.push_back({ plan, budget.returned, budget.spent, budget.reserved, target, budget.waiting });
+  }
+  return uses;
+}
+
+bool
+provedExhausted(const PlanBudget& aBudget, Tokens aTokens, TimePoint aNow) noexcept
+{
+  return aBudget.remainingKnown && aNow - aBudget.remainingAt < kRemainingKept && aBudget.remaining < aTokens;
+}
+
+} // namespace rhubarbarch::gateway
--- /dev/null
+++ b/src/gateway/requests.cpp
@@ -0,0 +1,233 @@
+#include "state.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <random>
+
+namespace rhubarbarch::gateway {
+
+namespace {
+
+/// When a caller that found the tokens of its plan held elsewhere, or the controllers out of reach, should come back:
+/// some polls later.
+constexpr Duration kTokensRetry{ 500 };
+/// When a caller that this gateway has no memory for should come back; another gateway may take it earlier.
+constexpr Duration kOverloadRetry{ 500 };
+/// When a caller of a gateway that knows no routes yet should come back.
+constexpr Duration kStartRetry{ 300 };
+
+std::optional<GiveUp>
+identify(const State& aState, Request& aRequest)
+{
+  const auto& table = aState.index;
+  if (!table) {
+    return GiveUp{ 503, "no_configuration", kStartRetry };
+  }
+  aRequest.index = table;
+  aRequest.route = findRoute(*table, aRequest.call.host, aRequest.call.target);
+  if (aRequest.route == nullptr) {
+    return GiveUp{ 404, "unknown_path", {} };
+  }
+  aRequest.priority = aRequest.route->priority;
+  if (aRequest.route->isPublic || table->table.plans.empty()) {
+    return std::nullopt;
+  }
+  const auto* plan = findPlan(*table, aRequest.call.key);
+  if (plan == nullptr) {
+    return GiveUp{ 401, "unknown_key", {} };
+  }
+  aRequest.plan = plan->plan;
+  aRequest.priority = plan->priority >= 0 ? plan->priority : aRequest.priority;
+  aRequest.worstCase = aRequest.call.promptTokens + aRequest.call.maxOutputTokens;
+  aRequest.limited = plan->prepaid >= 0 && aRequest.worstCase > 0;
+  return std::nullopt;
+}
+
+std::optional<GiveUp>
+chooseService(State& aState, Request& aRequest)
+{
+  std::uniform_real_distribution<double> draw(0, 1);
+  aRequest.service = findService(*aRequest.index, pickService(*aRequest.route, draw(aState.random)));
+  if (aRequest.service == nullptr) {
+    return GiveUp{ 503, "no_service", kOverloadRetry };
+  }
+  aState.retries[aRequest.service->name].noteRequest(aState.now);
+  return std::nullopt;
+}
+
+std::optional<GiveUp>
+checkRoom(const State& aState, const Request& aRequest)
+{
+  const auto bytes = aState.heldBytes + aRequest.call.body->size();
+  if (aState.requests.size() >= aState.options.maxRequests || bytes > aState.options.maxHeldBytes) {
+    return GiveUp{ 503, "overloaded", kOverloadRetry };
+  }
+  return std::nullopt;
+}
+
+void
+setEnd(Request& aRequest)
+{
+  aRequest.endsAt = aRequest.arrivedAt + Duration(aRequest.route->timeoutMs);
+  if (aRequest.call.deadline > Duration{ 0 }) {
+    aRequest.endsAt = std::min(aRequest.endsAt, aRequest.arrivedAt + aRequest.call.deadline);
+  }
+}
+
+/// The tokens of a request that waits, so that the next poll asks for them.
+void
+countWaiting(State& aState)
+{
+  for (auto& [plan, budget] : aState.budgets.plans) {
+    budget.waiting = 0;
+  }
+  for (const auto& [caller, request] : aState.requests) {
+    if (request.waitsUntil) {
+      aState.budgets.plans[request.plan].waiting += request.worstCase;
+    }
+  }
+}
+
+bool
+silent(const State& aState, const Request& aRequest)
+{
+  if (!aRequest.attempt || aRequest.attempt->firstBytes) {
+    return false;
+  }
+  const auto target = static_cast<double>(aRequest.route->targetLatencyMs) * aState.options.patience;
+  const auto patience = std::max(Duration(static_cast<std::int64_t>(target)), aState.options.shortestPatience);
+  return aState.now - aRequest.attempt->startedAt >= patience;
+}
+
+} // namespace
+
+void
+accept(State& aState, const CallerCall& aCall)
+{
+  ++aState.totals.requests;
+  auto& request = aState.requests[aCall.caller];
+  request.call = aCall;
+  request.arrivedAt = aState.now;
+  aState.heldBytes += aCall.body->size();
+  auto refusal = identify(aState, request);
+  refusal = refusal ? refusal : checkRoom(aState, request);
+  refusal = refusal ? refusal : chooseService(aState, request);
+  if (refusal) {
+    giveUp(aState, aCall.caller, *refusal);
+    return;
+  }
+  setEnd(request);
+  if (request.limited) {
+    noteDemand(aState.budgets.plans[request.plan], request.worstCase);
+  }
+  advance(aState, request);
+}
+
+void
+advance(State& aState, Request& aRequest)
+{
+  if (aRequest.limited && !aRequest.reserved) {
+    auto& budget = aState.budgets.plans[aRequest.plan];
+    if (!reserve(budget, aRequest.worstCase)) {
+      if (provedExhausted(budget, aRequest.worstCase, aState.now)) {
+        giveUp(aState, aRequest.call.caller, { 402, "budget_exhausted", {} });
+        return;
+      }
+      if (!aRequest.waitsUntil) {
+        aRequest.waitsUntil = std::min(aState.now + aState.options.tokenWait, aRequest.endsAt);
+        countWaiting(aState);
+        pollSoon(aState);
+      }
+      return;
+    }
+    aRequest.reserved = true;
+    if (aRequest.waitsUntil) {
+      aRequest.waitsUntil.reset();
+      countWaiting(aState);
+    }
+  }
+  startAttempt(aState, aRequest);
+}
+
+void
+serveWaiting(State& aState)
+{
+  std::vector<CallerId> waiting;
+  for (const auto& [caller, request] : aState.requests) {
+    if (request.waitsUntil) {
+      waiting.push_back(caller);
+    }
+  }
+  for (const auto caller : waiting) {
+    if (const auto found = aState.requests.find(caller); found != aState.requests.end()) {
+      advance(aState, found->second);
+    }
+  }
+  if (!waiting.empty()) {
+    countWaiting(aState);
+  }
+}
+
+void
+tickRequests(State& aState)
+{
+  std::vector<CallerId> due;
+  std::vector<CallerId> quiet;
+  for (const auto& [caller, request] : aState.requests) {
+    const bool waitedLong = request.waitsUntil && aState.now >= *request.waitsUntil;
+    if (aState.now >= request.endsAt || waitedLong) {
+      due.push_back(caller);
+    } else if (silent(aState, request)) {
+      quiet.push_back(caller);
+    }
+  }
+  for (const auto caller : due) {
+    const bool tokens = aState.requests.at(caller).waitsUntil.has_value();
+    giveUp(aState, caller, tokens ? GiveUp{ 503, "tokens_held_elsewhere", kTokensRetry } : GiveUp{ 504, "timed_out", {} });
+  }
+  for (const auto caller : quiet) {
+    if (const auto found = aState.requests.find(caller); found != aState.requests.end()) {
+      onSilence(aState, found->second);
+    }
+  }
+  if (!due.empty()) {
+    countWaiting(aState);
+  }
+}
+
+void
+onCallerGone(State& aState, CallerId aCaller)
+{
+  const auto found = aState.requests.find(aCaller);
+  if (found == aState.requests.end()) {
+    return;
+  }
+  ++aState.totals.callersGone;
+  log(aState,
+      Severity::kInfo,
+      "caller_gone",
+      { { "request", found->second.call.requestId },
+        { "after_ms", (aState.now - found->second.arrivedAt).count() },
+        { "events", found->second.stream.events() } });
+  dropAttempt(aState, found->second, true);
+  erase(aState, aCaller);
+  countWaiting(aState);
+}
+
+void
+onCallerDrained(State& aState, const CallerDrained& aDrained)
+{
+  const auto found = aState.requests.find(aDrained.caller);
+  if (found == aState.requests.end()) {
+    return;
+  }
+  auto& request = found->second;
+  request.undelivered -= std::min(request.undelivered, aDrained.bytes);
+  if (request.paused && request.attempt && request.undelivered < aState.options.windowBytes / 2) {
+    request.paused = false;
+    aState.actions.emplace_back(PauseCall{ request.attempt->exchange, false });
+  }
+}
+
+} // namespace rhubarbarch::gateway
--- /dev/null
+++ b/src/gateway/upstreams.cpp
@@ -0,0 +1,135 @@
+#include "upstreams.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+#include <iterator>
+
+namespace rhubarbarch::gateway {
+
+namespace {
+
+/// First time for which an unreachable upstream is avoided; doubles with each further failure.
+constexpr Duration kFirstAvoidance{ 500 };
+/// Longest time: a restarted server should not wait longer for its first call.
+constexpr Duration kLongestAvoidance{ 4000 };
+/// Weight of one answer in the smoothed error rate: a server that fails four calls in ten stands out after some ten.
+constexpr double kErrorWeight = 0.1;
+/// Weight of one measurement in the smoothed times.
+constexpr double kTimeWeight = 0.2;
+/// One measurement counts at most this much, since a single queue or preemption is no slow server.
+constexpr double kLargestRatio = 10;
+/// Time in which old errors and slowness lose half of their weight.
+constexpr double kHalfLifeMs = 3000;
+
+} // namespace
+
+void
+applyList(Upstreams& aUpstreams, const std::vector<UpstreamEntry>& aList, TimePoint aReadAt, TimePoint aNow)
+{
+  if (aUpstreams.received && aReadAt < aUpstreams.listedAt) {
+    return;
+  }
+  for (auto& [id, upstream] : aUpstreams.byId) {
+    upstream.listed = false;
+  }
+  for (const auto& entry : aList) {
+    auto [found, added] = aUpstreams.byId.try_emplace(entry.id);
+    auto& upstream = found->second;
+    if (added) {
+      upstream.decayedAt = aNow;
+    }
+    // An upstream that has said that it leaves does not come back under this id.
+    const bool leaving = entry.leaving || (!added && upstream.entry.leaving);
+    upstream.entry = entry;
+    upstream.entry.leaving = leaving;
+    upstream.listed = true;
+  }
+  aUpstreams.listedAt = aReadAt;
+  aUpstreams.received = true;
+  forgetGone(aUpstreams);
+}
+
+void
+applyOthers(Upstreams& aUpstreams, const std::vector<UpstreamUse>& aUses)
+{
+  for (auto& [id, upstream] : aUpstreams.byId) {
+    upstream.othersRunning = 0;
+    upstream.othersPrefillTokens = 0;
+  }
+  for (const auto& use : aUses) {
+    if (const auto found = aUpstreams.byId.find(use.id); found != aUpstreams.byId.end()) {
+      found->second.othersRunning = use.running;
+      found->second.othersPrefillTokens = use.prefillTokens;
+    }
+  }
+}
+
+std::vector<UpstreamUse>
+reportCalls(const Upstreams& aUpstreams)
+{
+  std::vector<UpstreamUse> uses;
+  for (const auto& [id, upstream] : aUpstreams.byId) {
+    if (upstream.running > 0) {
+      uses.push_back({ id, upstream.running, upstream.prefillTokens });
+    }
+  }
+  return uses;
+}
+
+void
+noteUnreachable(Upstream& aUpstream, TimePoint aNow)
+{
+  const auto avoidance = std::min(kFirstAvoidance * (1 << std::min(aUpstream.failures, 4)), kLongestAvoidance);
+  aUpstream.avoidUntil = aNow + avoidance;
+  ++aUpstream.failures;
+}
+
+void
+noteAnswer(Upstream& aUpstream, bool aFailed, TimePoint aNow)
+{
+  decay(aUpstream, aNow);
+  aUpstream.failures = 0;
+  aUpstream.errorRate += kErrorWeight * ((aFailed ? 1.0 : 0.0) - aUpstream.errorRate);
+}
+
+void
+noteTime(Upstream& aUpstream, Duration aTaken, Duration aExpected, bool aEngine, TimePoint aNow)
+{
+  decay(aUpstream, aNow);
+  aUpstream.failures = 0;
+  const auto taken = static_cast<double>(aTaken.count());
+  if (!aEngine) {
+    aUpstream.latencyMs =
+      aUpstream.latencyMs == 0 ? taken : aUpstream.latencyMs + kTimeWeight * (taken - aUpstream.latencyMs);
+    return;
+  }
+  const auto ratio = taken / std::max(1.0, static_cast<double>(aExpected.count()));
+  aUpstream.slowness += kTimeWeight * (std::min(ratio, kLargestRatio) - aUpstream.slowness);
+}
+
+void
+decay(Upstream& aUpstream, TimePoint aNow)
+{
+  const auto passed = std::chrono::duration<double, std::milli>(aNow - aUpstream.decayedAt).count();
+  const auto kept = std::exp2(-passed / kHalfLifeMs);
+  aUpstream.decayedAt = aNow;
+  aUpstream.errorRate *= kept;
+  aUpstream.slowness = 1 + (aUpstream.slowness - 1) * kept;
+  aUpstream.latencyMs *= kept;
+}
+
+bool
+usable(const Upstream& aUpstream) noexcept
+{
+  return aUpstream.listed && !aUpstream.entry.leaving;
+}
+
+void
+forgetGone(Upstreams& aUpstreams)
+{
+  std::erase_if(aUpstreams.byId,
+                [](const auto& aItem) { return !aItem.second.listed && aItem.second.running == 0; });
+}
+
+} // namespace rhubarbarch::gateway
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -294,6 +294,12 @@
   passed.apiKey = bearerToken(text(http::field::authorization));
   passed.idempotencyKey = text("Idempotency-Key");
   passed.contentType = text(http::field::content_type);
+  if (mShared->options.passFields) {
+    passed.target = std::string(request.target());
+    for (const auto& field : request) {
+      passed.fields.push_back({ std::string(field.name_string()), std::string(field.value()) });
+    }
+  }
   passed.body = std::move(request.body());
   mShared->events.request(std::move(passed));
 }
--- a/src/net/http_exchange.cpp
+++ b/src/net/http_exchange.cpp
@@ -9,9 +9,14 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 
+#include <netinet/tcp.h>
+
+#include <algorithm>
 #include <array>
+#include <charconv>
 #include <limits>
 #include <optional>
+#include <string_view>
 
 namespace rhubarbarch::net {
 
@@ -25,24 +30,61 @@
 
 constexpr std::size_t kReadBytes = std::size_t{ 16 } * 1024;
 constexpr std::uint32_t kMaxHeadBytes = 32 * 1024;
-constexpr std::size_t kMaxIdle = 4;
+// Connections whose server states no time-out are kept for this long; common servers close them after 5 s.
+constexpr std::chrono::seconds kDefaultKeepAlive{ 4 };
+// A kept connection is not used in the last part of its server's time-out, when a close may be on its way.
+constexpr std::chrono::milliseconds kKeepAliveMargin{ 500 };
+using UserTimeout = boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
 constexpr std::size_t kMaxFetchBytes = std::size_t{ 4 } * 1024 * 1024;
 constexpr Duration kCongestedRetry{ 10 };
 
 std::string
 requestText(const HttpCall& aCall, const settings::Endpoint& aEndpoint)
 {
-  std::string text = aCall.method + " " + aCall.target + " HTTP/1.1\r\nHost: " + settings::toString(aEndpoint) + "\r\n";
+  const auto host = aCall.host.empty() ? settings::toString(aEndpoint) : aCall.host;
+  std::string text = aCall.method + " " + aCall.target + " HTTP/1.1\r\nHost: " + host + "\r\n";
   for (const auto& [name, value] : aCall.fields) {
     text += name;
     text += ": ";
     text += value;
     text += "\r\n";
   }
-  if (!aCall.repeatable) {
+  if (!aCall.keep) {
     text += "Connection: close\r\n";
   }
-  return text + "Content-Length: " + std::to_string(aCall.body.size()) + "\r\n\r\n" + aCall.body;
+  const auto size = aCall.body ? aCall.body->size() : 0;
+  // A length of zero on a GET is allowed but unusual; some servers refuse it.
+  if (size > 0 || aCall.method != "GET") {
+    text += "Content-Length: " + std::to_string(size) + "\r\n";
+  }
+  return text + "\r\n";
+}
+
+/// Seconds that a `Keep-Alive: timeout=N` field states.
+std::optional<std::chrono::seconds>
+statedTimeout(std::string_view aField)
+{
+  constexpr std::string_view kName = "timeout=";
+  const auto begin = aField.find(kName);
+  if (begin == std::string_view::npos) {
+    return std::nullopt;
+  }
+  const auto digits = aField.substr(begin + kName.size());
+  int seconds = 0;
+  const auto parsed = std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+  return parsed.ec == std::errc() ? std::optional(std::chrono::seconds(seconds)) : std::nullopt;
+}
+
+/// Whether a kept connection is still silent: closed by the other end or with bytes that nobody asked for, it must not
+/// carry another request.
+bool
+stillQuiet(tcp::socket& aSocket)
+{
+  error_code error;
+  char byte = 0;
+  aSocket.non_blocking(true, error);
+  aSocket.receive(boost::asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+  return error == boost::asio::error::would_block;
 }
 
 class Exchange
@@ -77,9 +119,11 @@
   void bodyRead(const error_code& aError);
   void deliver(std::string aData);
   void finish();
-  void failed(const std::string& aDetail);
+  void failed(const std::string& aDetail, bool aSilent = false);
   void armTimer(Duration aTimeout, const char* aWhat);
   bool retryOnNewConnection();
+  bool takeKept();
+  void keepConnection();
   void close();
 
   std::shared_ptr<HttpPool> mPool;
@@ -103,9 +147,7 @@
 void
 Exchange::start()
 {
-  if (mCall.repeatable && !mPool->idle.empty()) {
-    mSocket = std::move(mPool->idle.back());
-    mPool->idle.pop_back();
+  if (takeKept()) {
     mReused = true;
     send();
     return;
@@ -113,6 +155,26 @@
   connect();
 }
 
+/// Takes the connection that was kept last, if it may carry this call.
+bool
+Exchange::takeKept()
+{
+  const auto now = std::chrono::steady_clock::now();
+  while (!mPool->idle.empty()) {
+    auto& last = mPool->idle.back();
+    if (now < last.until && !mCall.repeatable && now - last.since >= mCall.freshIdle) {
+      return false;
+    }
+    auto connection = std::move(last);
+    mPool->idle.pop_back();
+    if (now < connection.until && stillQuiet(connection.socket)) {
+      mSocket = std::move(connection.socket);
+      return true;
+    }
+  }
+  return false;
+}
+
 void
 Exchange::connect()
 {
@@ -139,6 +201,12 @@
   }
   error_code ignored;
   mSocket.set_option(tcp::no_delay(true), ignored);
+  if (mCall.unackedTimeout > Duration{ 0 }) {
+    mSocket.set_option(UserTimeout(static_cast<int>(mCall.unackedTimeout.count())), ignored);
+    mSocket.set_option(boost::asio::socket_base::keep_alive(true), ignored);
+    mSocket.set_option(boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>(1), ignored);
+    mSocket.set_option(boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>(1), ignored);
+  }
   send();
 }
 
@@ -148,8 +216,11 @@
   armTimer(mCall.timeout, "sending");
   // Until the write is over nobody knows how much of it the operating system took.
   mMayBeSent = true;
+  static const std::string kNoBody;
+  const std::array<boost::asio::const_buffer, 2> parts{ boost::asio::buffer(mText),
+                                                        boost::asio::buffer(mCall.body ? *mCall.body : kNoBody) };
   boost::asio::async_write(
-    mSocket, boost::asio::buffer(mText), [self = shared_from_this()](const error_code& aError, std::size_t aBytes) {
+    mSocket, parts, [self = shared_from_this()](const error_code& aError, std::size_t aBytes) {
       self->sent(aError, aBytes);
     });
 }
@@ -211,8 +282,14 @@
     readHead();
     return;
   }
-  const auto type = mParser->get()[http::field::content_type];
-  mEvents.head(static_cast<std::int32_t>(mParser->get().result_int()), std::string(type));
+  HttpAnswerHead head;
+  head.status = static_cast<std::int32_t>(mParser->get().result_int());
+  head.contentType = std::string(mParser->get()[http::field::content_type]);
+  for (const auto& field : mParser->get()) {
+    head.fields.push_back({ std::string(field.name_string()), std::string(field.value()) });
+  }
+  const auto self = shared_from_this();
+  mEvents.head(head);
   readBody();
 }
 
@@ -295,17 +372,29 @@
   const auto self = shared_from_this();
   mOver = true;
   mTimer.cancel();
-  if (mCall.repeatable && mParser->get().keep_alive() && mBuffer.size() == 0 && mPool->idle.size() < kMaxIdle) {
-    mPool->idle.push_back(std::move(mSocket));
+  if (mCall.keep && mParser->get().keep_alive() && mBuffer.size() == 0) {
+    keepConnection();
   }
   close();
   mEvents.end();
 }
 
+void
+Exchange::keepConnection()
+{
+  const auto now = std::chrono::steady_clock::now();
+  const auto field = mParser->get()[http::field::keep_alive];
+  const auto stated = statedTimeout({ field.data(), field.size() });
+  const auto until = now + stated.value_or(kDefaultKeepAlive) - kKeepAliveMargin;
+  if (until > now && mPool->idle.size() < mPool->maxIdle) {
+    mPool->idle.push_back({ std::move(mSocket), now, until });
+  }
+}
+
 bool
 Exchange::retryOnNewConnection()
 {
-  if (!mReused || mAnswered) {
+  if (!mReused || mAnswered || (!mCall.repeatable && mMayBeSent)) {
     return false;
   }
   // The kept connection had been closed by the upstream; the request may be sent again.
@@ -319,7 +408,7 @@
 }
 
 void
-Exchange::failed(const std::string& aDetail)
+Exchange::failed(const std::string& aDetail, bool aSilent)
 {
   const auto self = shared_from_this();
   mOver = true;
@@ -328,7 +417,7 @@
     mEvents.data(std::exchange(mHeld, {}));
   }
   close();
-  mEvents.error(mMayBeSent ? ExchangeFailure::kBroken : ExchangeFailure::kNotSent, aDetail);
+  mEvents.error({ mMayBeSent ? ExchangeFailure::kBroken : ExchangeFailure::kNotSent, aSilent, aDetail });
 }
 
 void
@@ -358,12 +447,19 @@
     if (aError || self->mOver || self->mTimer.expiry() > std::chrono::steady_clock::now()) {
       return;
     }
-    self->failed(std::string("no progress for ") + std::to_string(aTimeout.count()) + " ms while " + aWhat);
+    self->failed(std::string("no progress for ") + std::to_string(aTimeout.count()) + " ms while " + aWhat, true);
   });
 }
 
 } // namespace
 
+void
+pruneIdle(HttpPool& aPool)
+{
+  const auto now = std::chrono::steady_clock::now();
+  std::erase_if(aPool.idle, [now](const IdleConnection& aEach) { return now >= aEach.until; });
+}
+
 std::shared_ptr<HttpExchange>
 startHttpExchange(std::shared_ptr<HttpPool> aPool, HttpCall aCall, HttpCallEvents aEvents)
 {
@@ -382,14 +478,14 @@
   };
   const auto gathered = std::make_shared<Gathered>();
   HttpCallEvents events;
-  events.head = [gathered](std::int32_t aStatus, const std::string&) { gathered->status = aStatus; };
+  events.head = [gathered](const HttpAnswerHead& aHead) { gathered->status = aHead.status; };
   events.data = [gathered](std::string&& aData) {
     if (gathered->body.size() < kMaxFetchBytes) {
       gathered->body += aData;
     }
   };
   events.end = [gathered, aDone] { aDone(gathered->status, gathered->body); };
-  events.error = [aDone](ExchangeFailure, const std::string& aDetail) { aDone(0, aDetail); };
+  events.error = [aDone](const HttpFailure& aFailure) { aDone(0, aFailure.detail); };
   return startHttpExchange(std::move(aPool), std::move(aCall), std::move(events));
 }
 
--- a/src/net/http_exchange.h
+++ b/src/net/http_exchange.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include "rhubarbarch/agent/events.h"
+#include "rhubarbarch/base/http_field.h"
 #include "rhubarbarch/base/time.h"
 #include "rhubarbarch/settings/settings.h"
 
 #include <boost/asio/ip/tcp.hpp>
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -20,31 +22,64 @@
 {
   std::string method = "GET";
   std::string target = "/";
+  std::string host; ///< value of the Host field; empty: the endpoint
   std::vector<std::pair<std::string, std::string>> fields;
-  std::string body;
+  std::shared_ptr<const std::string> body; ///< null: empty
   Duration connectTimeout{ 1000 };
-  Duration timeout{ 0 };   ///< without progress; zero: none
-  bool repeatable = false; ///< may be sent again, so it may use a kept connection
+  Duration timeout{ 0 };        ///< without progress; zero: none
+  Duration unackedTimeout{ 0 }; ///< bytes that the other end does not acknowledge break the connection; zero: never
+  bool repeatable = false;      ///< may be sent again, so it may use a connection kept for any time
+  bool keep = false;            ///< keep the connection for later calls
+  Duration freshIdle{ 0 };      ///< a call that may not be sent again uses connections kept for less than this
+};
+
+/// Head of an answer.
+struct HttpAnswerHead
+{
+  std::int32_t status = 0;
+  std::string contentType;
+  HttpFields fields; ///< all of them
+};
+
+/// Why an exchange failed.
+struct HttpFailure
+{
+  agent::ExchangeFailure kind = agent::ExchangeFailure::kBroken;
+  bool silent = false; ///< a time-out, not a refusal or reset
+  std::string detail;
 };
 
 /// Callbacks of one exchange. The last one is either `end` or `error`; none follow cancel().
 struct HttpCallEvents
 {
-  std::function<void(std::int32_t aStatus, const std::string& aContentType)> head;
+  std::function<void(const HttpAnswerHead&)> head;
   std::function<void(std::string&&)> data;
   std::function<void()> end;
-  std::function<void(agent::ExchangeFailure, const std::string& aDetail)> error;
+  std::function<void(const HttpFailure&)> error;
   std::function<bool()> congested; ///< may be empty
 };
 
+/// A connection without a request.
+struct IdleConnection
+{
+  boost::asio::ip::tcp::socket socket;
+  std::chrono::steady_clock::time_point since;
+  std::chrono::steady_clock::time_point until; ///< the server may close it then
+};
+
 /// Kept connections to one endpoint.
 struct HttpPool
 {
   boost::asio::io_context& context;
   settings::Endpoint endpoint;
-  std::vector<boost::asio::ip::tcp::socket> idle;
+  std::vector<IdleConnection> idle;
+  std::size_t maxIdle = 4;
 };
 
+/// Closes kept connections that the server is about to close.
+void
+pruneIdle(HttpPool& aPool);
+
 /// One HTTP/1.1 request and its answer.
 class HttpExchange
 {
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -162,6 +162,22 @@
   }
 }
 
+void
+HttpServer::limit(std::size_t aHeaderBytes, std::size_t aBodyBytes, Duration aReceiveTimeout, Duration aIdleTimeout)
+{
+  auto& options = mState->shared->options;
+  options.maxHeaderBytes = aHeaderBytes;
+  options.maxBodyBytes = aBodyBytes;
+  options.receiveTimeout = aReceiveTimeout;
+  options.idleTimeout = aIdleTimeout;
+}
+
+void
+HttpServer::drain()
+{
+  mState->shared->stopping = true;
+}
+
 void
 HttpServer::stop()
 {
--- a/src/net/http_text.cpp
+++ b/src/net/http_text.cpp
@@ -83,6 +83,9 @@
   if (aHead.retryAfter > Duration{ 0 }) {
     addField(head, "Retry-After", std::to_string(secondsRoundedUp(aHead.retryAfter)));
   }
+  for (const auto& field : aHead.fields) {
+    addField(head, field.name, field.value);
+  }
   if (aHead.httpStatus == 405) {
     addField(head, "Allow", kAllowed);
   }
--- a/src/net/upstream_client.cpp
+++ b/src/net/upstream_client.cpp
@@ -35,10 +35,11 @@
   HttpCall call;
   call.method = aStart.method;
   call.target = aStart.path;
-  call.body = aStart.body;
+  call.body = std::make_shared<const std::string>(aStart.body);
   call.connectTimeout = aOptions.connectTimeout;
   call.timeout = aStart.timeout;
   call.repeatable = aStart.path.starts_with(kEnginePrefix);
+  call.keep = call.repeatable;
   addField(call, "Content-Type", aStart.contentType);
   addField(call, "X-Request-Id", aStart.requestId);
   addField(call, "Idempotency-Key", aStart.idempotencyKey);
@@ -91,7 +92,7 @@
   State(boost::asio::io_context& aContext, UpstreamOptions aOptions, UpstreamEvents aEvents)
     : options(std::move(aOptions))
     , events(std::move(aEvents))
-    , pool(std::make_shared<HttpPool>(HttpPool{ aContext, options.endpoint, {} }))
+    , pool(std::make_shared<HttpPool>(HttpPool{ aContext, options.endpoint, {}, 4 }))
     , timer(aContext)
   {
   }
@@ -100,13 +101,13 @@
   {
     HttpCallEvents callbacks;
     const auto weak = weak_from_this();
-    callbacks.head = [weak, aId](std::int32_t aStatus, const std::string& aType) {
-      emit(weak, agent::UpstreamHead{ aId, aStatus, aType });
+    callbacks.head = [weak, aId](const HttpAnswerHead& aHead) {
+      emit(weak, agent::UpstreamHead{ aId, aHead.status, aHead.contentType });
     };
     callbacks.data = [weak, aId](std::string&& aData) { emit(weak, agent::UpstreamData{ aId, std::move(aData) }); };
     callbacks.end = [weak, aId] { over(weak, aId, agent::UpstreamEnd{ aId }); };
-    callbacks.error = [weak, aId](agent::ExchangeFailure aFailure, const std::string& aDetail) {
-      over(weak, aId, agent::UpstreamError{ aId, aFailure, aDetail });
+    callbacks.error = [weak, aId](const HttpFailure& aFailure) {
+      over(weak, aId, agent::UpstreamError{ aId, aFailure.kind, aFailure.detail });
     };
     callbacks.congested = [weak] {
       const auto self = weak.lock();
@@ -138,10 +139,11 @@
     call.method = "POST";
     call.target = "/engine/cancel";
     call.fields.emplace_back("Content-Type", "application/json");
-    call.body = nlohmann::json{ { "request_id", aRequest } }.dump();
+    call.body = std::make_shared<const std::string>(nlohmann::json{ { "request_id", aRequest } }.dump());
     call.connectTimeout = options.connectTimeout;
     call.timeout = options.orderTimeout;
     call.repeatable = true;
+    call.keep = true;
     const auto weak = weak_from_this();
     fetch(pool, std::move(call), [weak, aRequest](std::int32_t aStatus, const std::string& aBody) {
       const auto self = weak.lock();
@@ -183,6 +185,7 @@
     call.connectTimeout = options.connectTimeout;
     call.timeout = options.pollTimeout;
     call.repeatable = true;
+    call.keep = true;
     const auto weak = weak_from_this();
     fetch(pool, std::move(call), [weak, aUse, aNext](std::int32_t aStatus, const std::string& aBody) {
       if (const auto self = weak.lock()) {
--- a/src/router/refusal.cpp
+++ b/src/router/refusal.cpp
@@ -1,4 +1,4 @@
-#include "refusal.h"
+#include "rhubarbarch/router/refusal.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/router/request.h
+++ b/src/router/request.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "model_call.h"
-#include "refusal.h"
+#include "rhubarbarch/router/refusal.h"
 #include "stream.h"
 
 #include "rhubarbarch/base/ids.h"
--- a/src/state/replicated_state.cpp
+++ b/src/state/replicated_state.cpp
@@ -16,7 +16,8 @@
 constexpr std::array<std::string_view, kCommandCount> kNames = {
   "SetPlans",    "SetUses",      "OpenSession", "FenceRouter", "ReportFence", "SetLeaving",  "MarkDrained",
   "RemoveAgent", "MarkSettled",  "IssueGrant",  "ReturnGrant", "ChargeGrant", "SettleGrant", "TakeClaim",
-  "UpdateClaim", "ExpireClaims", "AddMove",     "StepMove",    "RaiseFence"
+  "UpdateClaim", "ExpireClaims", "AddMove",     "StepMove",    "RaiseFence",  "StoreRouting", "OpenGateway",
+  "ReportAllowances"
 };
 
 using CommandDecoder = Command (*)(const nlohmann::json&);
@@ -87,6 +88,24 @@
   aState.moves.fence = FenceNumber{ toNumber(aIndex) };
 }
 
+RoutingOutcome
+apply(ReplicatedState& aState, const StoreRouting& aCommand, LogIndex /*aIndex*/)
+{
+  return store(aState.routing, aCommand);
+}
+
+GatewayOutcome
+apply(ReplicatedState& aState, const OpenGateway& aCommand, LogIndex aIndex)
+{
+  return open(aState.allowances, aCommand, aIndex);
+}
+
+void
+apply(ReplicatedState& aState, const ReportAllowances& aCommand, LogIndex /*aIndex*/)
+{
+  report(aState.allowances, aCommand, aState.routing.table);
+}
+
 } // namespace
 
 Outcome
@@ -141,6 +160,8 @@
   json["sessions"] = aState.sessions;
   json["claims"] = aState.claims;
   json["moves"] = aState.moves;
+  json["routing"] = aState.routing;
+  json["allowances"] = aState.allowances;
   return toCbor(json);
 }
 
@@ -156,6 +177,9 @@
     state.sessions = json.at("sessions").get<Sessions>();
     state.claims = json.at("claims").get<Claims>();
     state.moves = json.at("moves").get<Moves>();
+    // Snapshots of earlier versions hold neither.
+    state.routing = json.value("routing", RoutingState{});
+    state.allowances = json.value("allowances", Allowances{});
     rebuildIndexes(state.ledger);
     return state;
   } catch (const nlohmann::json::exception& error) {
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -24,7 +24,8 @@
   "BrakeReport",       "FenceSession", "SessionFenced", "Order",           "OrderReply",
   "ExplainQuery",      "ExplainReply", "Dispatch",      "DispatchRefused", "RunHead",
   "StreamChunk",       "RunDone",      "RunDoneAck",    "Credit",          "CancelRun",
-  "RunQuery",          "RunStatus",    "Attach",        "ChargeSettled",   "AgentStatus"
+  "RunQuery",          "RunStatus",    "Attach",        "ChargeSettled",   "AgentStatus",
+  "GatewayPoll",       "GatewayState"
 };
 
 using BodyDecoder = Message (*)(const nlohmann::json&);
--- /dev/null
+++ b/src/wire/gateway_messages.cpp
@@ -0,0 +1,39 @@
+#include "rhubarbarch/wire/gateway_messages.h"
+
+#include "rhubarbarch/wire/define_fields.h"
+
+namespace rhubarbarch {
+
+RHUBARBARCH_DEFINE_FIELDS(PlanUse, plan, returned, spent, reserved, target, waiting)
+RHUBARBARCH_DEFINE_FIELDS(UpstreamUse, id, running, prefillTokens)
+RHUBARBARCH_DEFINE_FIELDS(GatewayPoll,
+                          instance,
+                          boot,
+                          session,
+                          number,
+                          endpoint,
+                          routingVersion,
+                          upstreamsRevision,
+                          leaving,
+                          plans,
+                          upstreams)
+RHUBARBARCH_DEFINE_FIELDS(PlanAllowance, plan, issued, remaining, recall)
+RHUBARBARCH_DEFINE_FIELDS(GatewayState,
+                          instance,
+                          boot,
+                          number,
+                          session,
+                          superseded,
+                          hasRouting,
+                          routing,
+                          routingVersion,
+                          hasUpstreams,
+                          upstreamsRevision,
+                          upstreamsAgeMs,
+                          upstreams,
+                          othersUse,
+                          plans,
+                          controllers,
+                          gateways)
+
+} // namespace rhubarbarch
