Relay polls of routers that are cut off from the controllers; read the settings again on SIGHUP

Ruled out: larger allowances in advance, because what a killed router holds stays in doubt for good. Relays beside the engines are not cut off with them and pass polls on.

--- a/include/rhubarbarch/consensus/replica.h
+++ b/include/rhubarbarch/consensus/replica.h
@@ -89,6 +89,9 @@
   /// Hands leadership to the follower that has caught up furthest. No effect on a follower.
   Output transferLeadership(TimePoint aNow);
 
+  /// Replaces the instances that are asked first by a replica without a group or leader.
+  void setContacts(std::vector<InstanceId> aControllers);
+
   bool isLeader() const noexcept;
   /// Last known leader; empty when unknown.
   InstanceId leader() const;
--- a/include/rhubarbarch/controller/events.h
+++ b/include/rhubarbarch/controller/events.h
@@ -131,8 +131,14 @@
   std::vector<UpstreamEntry> upstreams;
 };
 
+/// The settings name other first contacts.
+struct Contacts
+{
+  std::vector<InstanceId> controllers;
+};
+
 using Event =
-  std::variant<PeerMessage, PeerUp, PeerDown, Tick, Shutdown, OperatorRequest, PlatformList, UpstreamsRead>;
+  std::variant<PeerMessage, PeerUp, PeerDown, Tick, Shutdown, OperatorRequest, PlatformList, UpstreamsRead, Contacts>;
 
 struct Send
 {
--- a/include/rhubarbarch/gateway/events.h
+++ b/include/rhubarbarch/gateway/events.h
@@ -100,6 +100,12 @@
   std::vector<UpstreamEntry> upstreams;
 };
 
+/// The settings name other first contacts.
+struct Contacts
+{
+  std::vector<std::string> controllers; ///< endpoints
+};
+
 using Event = std::variant<CallerCall,
                            CallerDrained,
                            CallerGone,
@@ -108,6 +114,7 @@
                            UpstreamEnd,
                            UpstreamError,
                            UpstreamsRead,
+                           Contacts,
                            PeerMessage,
                            PeerUp,
                            PeerDown,
--- a/include/rhubarbarch/gateway/options.h
+++ b/include/rhubarbarch/gateway/options.h
@@ -22,6 +22,9 @@
   Duration pollPeriod{ 200 };        ///< a tenth of the 2 s in which a change must be in force
   Duration shortestPoll{ 20 };       ///< between two polls when requests wait for tokens
   Duration controllerSilence{ 500 }; ///< a controller that does not answer for some polls is replaced by the next one
+  std::uint16_t relayPort = 0;       ///< where instances beside engines relay polls; zero: none do
+  std::size_t relays = 2;            ///< connections kept to relays; one may stand behind the same cut
+  Duration relayAfter{ 300 };        ///< without a direct answer for more than a poll, polls go through a relay, too
   Duration listAge{ 1500 };          ///< an older list of upstreams is read from the platform by the gateway itself
   Duration listRetry{ 1000 };        ///< between two such reads
 
--- a/include/rhubarbarch/settings/settings.h
+++ b/include/rhubarbarch/settings/settings.h
@@ -64,6 +64,7 @@
 struct GatewaySettings
 {
   Endpoint ready; ///< where a balancer asks whether the gateway takes callers
+  std::uint16_t relayPort = 0; ///< where relays listen beside engines; zero: none
   double retryRatio = 0.1;
   std::int64_t retrySlack = 0;
   Duration retryWindow{ 10'000 };
@@ -111,6 +112,7 @@
   bool agent = false;
   bool controller = false;
   bool gateway = false; ///< a router that calls upstreams itself
+  bool relay = false;   ///< passes polls of cut-off gateways on
   PeerSettings peer;
   std::vector<ControllerPeer> controllers;
   ControllerSettings controllerSettings;
--- a/src/consensus/replica.cpp
+++ b/src/consensus/replica.cpp
@@ -145,6 +145,12 @@
   return output;
 }
 
+void
+Replica::setContacts(std::vector<InstanceId> aControllers)
+{
+  mState->options.controllers = std::move(aControllers);
+}
+
 bool
 Replica::isLeader() const noexcept
 {
--- a/src/controller/context.cpp
+++ b/src/controller/context.cpp
@@ -20,7 +20,7 @@
 void
 reply(Context& aContext, OperatorId aOperator, std::int32_t aStatus, nlohmann::json aBody)
 {
-  aContext.actions.emplace_back(OperatorReply{ aOperator, aStatus, std::move(aBody) });
+  aContext.actions.emplace_back(OperatorReply{ aOperator, aStatus, std::move(aBody), {} });
 }
 
 void
--- a/src/controller/controller_role.cpp
+++ b/src/controller/controller_role.cpp
@@ -113,6 +113,7 @@
   void on(const PlatformList& aEvent);
   void stopWhenHandedOver();
   void on(const UpstreamsRead& aEvent);
+  void on(const Contacts& aEvent) { replica.setContacts(aEvent.controllers); }
   void requestRead();
   void connectTo(const InstanceId& aController);
 
@@ -339,7 +340,8 @@
                    503,
                    { { "error", "not_leader" },
                      { "detail", "this controller does not lead; repeat the request at the leader" },
-                     { "leader", replica.leader() } } });
+                     { "leader", replica.leader() } },
+                   {} });
 }
 
 void
--- a/src/daemon/controller_part.cpp
+++ b/src/daemon/controller_part.cpp
@@ -40,6 +40,10 @@
 
   Role role() const noexcept override { return Role::kController; }
   void start() override { mLoop.start(std::move(mFirst)); }
+  void contacts(const std::vector<std::string>& aControllers) override
+  {
+    mLoop.inbox().push(kFromMain, controller::Contacts{ aControllers });
+  }
   void shutdown() override { mLoop.inbox().push(kFromMain, controller::Shutdown{}); }
   bool flushed() const override { return true; }
   void stop() override { mLoop.stop(); }
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -13,6 +13,7 @@
 #include <algorithm>
 #include <atomic>
 #include <csignal>
+#include <iterator>
 #include <random>
 #include <vector>
 
@@ -24,6 +25,8 @@
 constexpr Duration kFlushCheck{ 10 };
 // Longest wait for the last messages to peers; they are repeated by others where they matter.
 constexpr Duration kPeerFlushLimit{ 1000 };
+// The settings file may change without a signal; what it names lags by seconds itself.
+constexpr Duration kReloadPeriod{ 3000 };
 
 Boot
 drawBoot()
@@ -36,8 +39,11 @@
 
 struct Daemon::State
 {
-  State(settings::Settings aSettings, net::LogWriter& aLog)
+  State(settings::Settings aSettings,
+        net::LogWriter& aLog,
+        std::function<Result<settings::Settings>()> aReload)
     : settings(std::move(aSettings))
+    , reload(std::move(aReload))
     , log(aLog)
     , dispatcher(settings.instance)
     , process{ settings,
@@ -80,6 +86,9 @@
     if (settings.agent) {
       parts.push_back(makeAgentPart(process));
     }
+    if (settings.relay) {
+      parts.push_back(makeRelayPart(process));
+    }
     if (settings.controller) {
       // One of the two interfaces is served; the ids of their requests are not told apart.
       auto reply = [this](controller::OperatorReply&& aReply) {
@@ -105,7 +114,10 @@
 
   ExitCode run()
   {
+    std::ranges::transform(settings.controllers, std::back_inserter(contacts), &settings::ControllerPeer::instance);
     awaitSignal();
+    awaitHangUp();
+    awaitReload();
     dispatcher.introduceRoles(kFromMain);
     log.write({ Severity::kInfo, "started", { { "boot", toNumber(process.boot) } } });
     operators->start();
@@ -143,6 +155,51 @@
     });
   }
 
+  // Without a handler the signal would end the process.
+  void awaitHangUp()
+  {
+    hangUps.async_wait([this](const boost::system::error_code& aError, int /*aSignal*/) {
+      if (!aError) {
+        log.write({ Severity::kInfo, "settings_signal", {} });
+        readAgain();
+        awaitHangUp();
+      }
+    });
+  }
+
+  void awaitReload()
+  {
+    if (!reload) {
+      return;
+    }
+    reloadTimer.expires_after(kReloadPeriod);
+    reloadTimer.async_wait([this](const boost::system::error_code& aError) {
+      if (!aError) {
+        readAgain();
+        awaitReload();
+      }
+    });
+  }
+
+  /// Only the first contacts may change while the process runs.
+  void readAgain()
+  {
+    const auto read = reload ? reload() : Result<settings::Settings>(settings);
+    if (!read) {
+      log.write({ Severity::kWarning, "settings_not_read", { { "detail", read.error().detail } } });
+      return;
+    }
+    std::vector<std::string> names;
+    std::ranges::transform(
+      read.value().controllers, std::back_inserter(names), &settings::ControllerPeer::instance);
+    if (names == contacts) {
+      return;
+    }
+    contacts = names;
+    log.write({ Severity::kInfo, "contacts_changed", { { "controllers", names } } });
+    std::ranges::for_each(parts, [&names](const auto& aPart) { aPart->contacts(names); });
+  }
+
   // The parts stop one after the other, since each needs the later ones for its last exchanges.
   void shutdownNext()
   {
@@ -228,10 +285,14 @@
   }
 
   settings::Settings settings;
+  std::function<Result<settings::Settings>()> reload;
+  std::vector<std::string> contacts; ///< as last read
   net::LogWriter& log;
   RoleDispatcher dispatcher;
   boost::asio::io_context main{ 1 };
   boost::asio::signal_set signals{ main, SIGTERM, SIGINT };
+  boost::asio::signal_set hangUps{ main, SIGHUP };
+  boost::asio::steady_timer reloadTimer{ main };
   boost::asio::steady_timer deadline{ main };
   boost::asio::steady_timer flushTimer{ main };
   std::chrono::steady_clock::time_point flushLimit;
@@ -245,8 +306,10 @@
   std::vector<std::unique_ptr<RolePart>> parts;
 };
 
-Daemon::Daemon(settings::Settings aSettings, net::LogWriter& aLog)
-  : mState(std::make_unique<State>(std::move(aSettings), aLog))
+Daemon::Daemon(settings::Settings aSettings,
+               net::LogWriter& aLog,
+               std::function<Result<settings::Settings>()> aReload)
+  : mState(std::make_unique<State>(std::move(aSettings), aLog, std::move(aReload)))
 {
 }
 
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -4,6 +4,7 @@
 #include "rhubarbarch/net/log_writer.h"
 #include "rhubarbarch/settings/settings.h"
 
+#include <functional>
 #include <memory>
 
 namespace rhubarbarch::daemon {
@@ -23,7 +24,10 @@
 class Daemon
 {
 public:
-  Daemon(settings::Settings aSettings, net::LogWriter& aLog);
+  /// @param aReload reads the settings again, on SIGHUP and now and then; empty: they never change
+  Daemon(settings::Settings aSettings,
+         net::LogWriter& aLog,
+         std::function<Result<settings::Settings>()> aReload = {});
   ~Daemon();
   Daemon(const Daemon&) = delete;
   Daemon& operator=(const Daemon&) = delete;
--- a/src/daemon/gateway_part.cpp
+++ b/src/daemon/gateway_part.cpp
@@ -103,6 +103,11 @@
     mThread.start();
   }
 
+  void contacts(const std::vector<std::string>& aControllers) override
+  {
+    boost::asio::post(mThread.context, [this, aControllers] { handle(gateway::Contacts{ aControllers }); });
+  }
+
   void shutdown() override
   {
     boost::asio::post(mThread.context, [this] {
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -21,6 +21,7 @@
 constexpr const char* kVersion = "0.1.0";
 
 using rhubarbarch::daemon::Daemon;
+using Reload = rhubarbarch::Result<rhubarbarch::settings::Settings> (*)();
 
 void
 writeToStandardOutput(const std::string& aLine)
@@ -34,7 +35,7 @@
 serve(const rhubarbarch::settings::Settings& aSettings)
 {
   rhubarbarch::net::LogWriter log(aSettings.instance, writeToStandardOutput);
-  Daemon daemon(aSettings, log);
+  Daemon daemon(aSettings, log, FLAGS_platform ? rhubarbarch::platform::loadNodeFile : Reload{});
   const auto opened = daemon.open();
   if (!opened) {
     log.write({ rhubarbarch::Severity::kError, "cannot_open", { { "detail", opened.error().detail } } });
--- a/src/daemon/parts.h
+++ b/src/daemon/parts.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace rhubarbarch::daemon {
 
@@ -34,6 +35,8 @@
   virtual ~RolePart() = default;
   virtual Role role() const noexcept = 0;
   virtual void start() = 0;
+  /// The settings name other first contacts; any part that needs none ignores them.
+  virtual void contacts(const std::vector<std::string>& /*aControllers*/) {}
   /// Begins the graceful shutdown of the role; Process::stopped follows.
   virtual void shutdown() = 0;
   /// @return whether everything that the role sent has left the process; meaningful after Process::stopped
@@ -56,6 +59,10 @@
 Result<std::unique_ptr<RolePart>>
 makeGatewayPart(Process& aProcess);
 
+/// Builds the relay role.
+std::unique_ptr<RolePart>
+makeRelayPart(Process& aProcess);
+
 /// Builds the agent role with the client of its upstream.
 std::unique_ptr<RolePart>
 makeAgentPart(Process& aProcess);
--- a/src/daemon/peer_part.cpp
+++ b/src/daemon/peer_part.cpp
@@ -33,7 +33,7 @@
   if (settings.router || settings.gateway) {
     options.roles.push_back(Role::kRouter);
   }
-  if (settings.agent) {
+  if (settings.agent || settings.relay) {
     options.roles.push_back(Role::kAgent);
   }
   if (settings.controller) {
--- a/src/daemon/role_dispatcher.cpp
+++ b/src/daemon/role_dispatcher.cpp
@@ -23,6 +23,8 @@
     gateway->pushUnlessFull(aLane, router::PeerMessage{ std::move(aEnvelope.from), std::move(aEnvelope.message) });
   } else if (aEnvelope.to.role == Role::kRouter && router != nullptr) {
     router->pushUnlessFull(aLane, router::PeerMessage{ std::move(aEnvelope.from), std::move(aEnvelope.message) });
+  } else if (aEnvelope.to.role == Role::kAgent && relay != nullptr) {
+    relay->pushUnlessFull(aLane, router::PeerMessage{ std::move(aEnvelope.from), std::move(aEnvelope.message) });
   } else if (aEnvelope.to.role == Role::kAgent && agent != nullptr) {
     agent->pushUnlessFull(aLane, agent::PeerMessage{ std::move(aEnvelope.from), std::move(aEnvelope.message) });
   } else if (aEnvelope.to.role == Role::kController && controller != nullptr) {
--- a/src/daemon/role_dispatcher.h
+++ b/src/daemon/role_dispatcher.h
@@ -3,6 +3,7 @@
 #include "lanes.h"
 #include "rhubarbarch/base/ids.h"
 #include "rhubarbarch/gateway/events.h"
+#include "rhubarbarch/relay/relay_role.h"
 #include "rhubarbarch/wire/message.h"
 
 #include <functional>
@@ -37,6 +38,7 @@
   net::Inbox<router::Event>* router = nullptr;
   net::Inbox<gateway::Event>* gateway = nullptr; ///< takes the router's place in a process with a gateway
   net::Inbox<agent::Event>* agent = nullptr;
+  net::Inbox<relay::Event>* relay = nullptr; ///< takes the agent's place in a process with a relay
   net::Inbox<controller::Event>* controller = nullptr;
   net::Inbox<PeerCommand>* peers = nullptr;
 
--- a/src/daemon/role_options.cpp
+++ b/src/daemon/role_options.cpp
@@ -77,6 +77,7 @@
   options.dataCentre = aSettings.dataCentre;
   options.endpoint = aEndpoint;
   options.controllers = controllerNames(aSettings);
+  options.relayPort = aSettings.gatewaySettings.relayPort;
   options.maxHeldBytes = aSettings.caller.maxHeldBytes;
   options.retryRatio = aSettings.gatewaySettings.retryRatio;
   options.retrySlack = aSettings.gatewaySettings.retrySlack;
@@ -85,6 +86,14 @@
   return options;
 }
 
+relay::RelayOptions
+relayOptions(const settings::Settings& aSettings)
+{
+  relay::RelayOptions options;
+  options.controllers = controllerNames(aSettings);
+  return options;
+}
+
 net::HttpServerOptions
 callerServerOptions(const settings::CallerSettings& aSettings)
 {
--- a/src/daemon/role_options.h
+++ b/src/daemon/role_options.h
@@ -4,6 +4,7 @@
 #include "rhubarbarch/controller/options.h"
 #include "rhubarbarch/gateway/options.h"
 #include "rhubarbarch/net/http_server.h"
+#include "rhubarbarch/relay/relay_role.h"
 #include "rhubarbarch/router/options.h"
 #include "rhubarbarch/settings/settings.h"
 
@@ -25,6 +26,9 @@
 gateway::GatewayOptions
 gatewayOptions(const settings::Settings& aSettings, const std::string& aEndpoint);
 
+relay::RelayOptions
+relayOptions(const settings::Settings& aSettings);
+
 /// Server for the platform's operator.
 net::HttpServerOptions
 controlServerOptions(const settings::Endpoint& aListen);
--- a/src/gateway/control.cpp
+++ b/src/gateway/control.cpp
@@ -3,6 +3,8 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <functional>
+#include <utility>
 
 namespace rhubarbarch::gateway {
 
@@ -26,8 +28,8 @@
   link.pollAt = aState.now + aPause;
 }
 
-void
-sendPoll(State& aState)
+GatewayPoll
+makePoll(State& aState)
 {
   auto& link = aState.link;
   GatewayPoll poll;
@@ -41,7 +43,19 @@
   poll.leaving = aState.leavingSince.has_value();
   poll.plans = reportUse(aState.budgets, aState.options.allowanceWindow, poll.leaving);
   poll.upstreams = reportCalls(aState.upstreams);
-  aState.actions.emplace_back(Send{ { currentController(link), Role::kController }, std::move(poll) });
+  return poll;
+}
+
+/// A poll through a relay has a number of its own: the leader may have got the direct one while its answers are lost.
+void
+sendPoll(State& aState)
+{
+  auto& link = aState.link;
+  aState.actions.emplace_back(Send{ { currentController(link), Role::kController }, makePoll(aState) });
+  if (!link.relays.empty() && aState.now - link.directAt >= aState.options.relayAfter) {
+    const auto& relay = link.relays[link.polls / 2 % link.relays.size()];
+    aState.actions.emplace_back(Send{ { relay, Role::kAgent }, makePoll(aState) });
+  }
   link.polledAt = aState.now;
   link.pollAt = aState.now + aState.options.pollPeriod;
 }
@@ -50,7 +64,7 @@
 rotateOnSilence(State& aState)
 {
   auto& link = aState.link;
-  const auto heard = std::max(link.triedSince, link.answeredAt.value_or(TimePoint{}));
+  const auto heard = std::max(link.triedSince, link.directAt);
   if (aState.now - heard >= aState.options.controllerSilence) {
     log(aState, Severity::kWarning, "controller_silent", { { "controller", currentController(link) } });
     choose(aState, link.current + 1, Duration{ 0 });
@@ -69,6 +83,47 @@
   }
 }
 
+std::uint64_t
+relayOrder(const State& aState, const std::string& aUpstream)
+{
+  return std::hash<std::string>{}(aState.options.instance + "/" + aUpstream);
+}
+
+/// Relays run beside the engines, at the engines' IP addresses. Each gateway keeps to a few, so that the relays'
+/// connections grow with the gateways and not with gateways times relays.
+void
+chooseRelays(State& aState)
+{
+  if (aState.options.relayPort == 0 || !aState.index) {
+    return;
+  }
+  std::vector<std::pair<std::uint64_t, std::string>> order;
+  for (const auto& [id, upstream] : aState.upstreams.byId) {
+    const auto* service = findService(*aState.index, upstream.entry.service);
+    if (service != nullptr && service->isEngine && usable(upstream)) {
+      const auto address = upstream.entry.endpoint.substr(0, upstream.entry.endpoint.rfind(':'));
+      order.emplace_back(relayOrder(aState, id), address + ":" + std::to_string(aState.options.relayPort));
+    }
+  }
+  std::ranges::sort(order);
+  std::vector<std::string> chosen;
+  for (std::size_t i = 0; i < std::min(order.size(), aState.options.relays); ++i) {
+    chosen.push_back(order[i].second);
+  }
+  auto& relays = aState.link.relays;
+  for (const auto& relay : relays) {
+    if (std::ranges::find(chosen, relay) == chosen.end()) {
+      aState.actions.emplace_back(Connect{ { relay, Role::kAgent }, "" });
+    }
+  }
+  for (const auto& relay : chosen) {
+    if (std::ranges::find(relays, relay) == relays.end()) {
+      aState.actions.emplace_back(Connect{ { relay, Role::kAgent }, relay });
+    }
+  }
+  relays = std::move(chosen);
+}
+
 void
 adoptControllers(State& aState, const std::vector<std::string>& aControllers)
 {
@@ -116,13 +171,16 @@
 }
 
 void
-onState(State& aState, const GatewayState& aAnswer)
+onState(State& aState, const Address& aFrom, const GatewayState& aAnswer)
 {
   auto& link = aState.link;
   if (aAnswer.instance != aState.options.instance || aAnswer.boot != aState.boot) {
     return;
   }
   link.answeredAt = aState.now;
+  if (aFrom.role == Role::kController) {
+    link.directAt = aState.now;
+  }
   link.answered = std::max(link.answered, aAnswer.number);
   link.gateways = std::max<std::uint32_t>(aAnswer.gateways, 1);
   adoptControllers(aState, aAnswer.controllers);
@@ -171,6 +229,18 @@
 
 } // namespace
 
+void
+onContacts(State& aState, const Contacts& aContacts)
+{
+  auto& known = aState.link.controllers;
+  for (const auto& controller : aContacts.controllers) {
+    if (std::ranges::find(known, controller) == known.end()) {
+      known.push_back(controller);
+      aState.actions.emplace_back(Connect{ { controller, Role::kController }, controller });
+    }
+  }
+}
+
 void
 tickControl(State& aState)
 {
@@ -199,7 +269,7 @@
 handlePeer(State& aState, const PeerMessage& aMessage)
 {
   if (const auto* answer = std::get_if<GatewayState>(&aMessage.message)) {
-    onState(aState, *answer);
+    onState(aState, aMessage.from, *answer);
   } else if (const auto* hint = std::get_if<NotLeader>(&aMessage.message)) {
     onNotLeader(aState, aMessage.from.instance, *hint);
   }
@@ -209,6 +279,7 @@
 applyUpstreams(State& aState, const std::vector<UpstreamEntry>& aList, TimePoint aReadAt)
 {
   applyList(aState.upstreams, aList, aReadAt, aState.now);
+  chooseRelays(aState);
   const auto leaving = std::ranges::count_if(aList, &UpstreamEntry::leaving);
   log(aState, Severity::kInfo, "upstreams_listed", { { "upstreams", aList.size() }, { "leaving", leaving } });
 }
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -18,6 +18,7 @@
     return;
   }
   aState.link.triedSince = aState.now;
+  aState.link.directAt = aState.now;
   aState.budgets.demandUpdatedAt = aState.now;
   for (const auto& controller : aState.link.controllers) {
     aState.actions.emplace_back(Connect{ { controller, Role::kController }, controller });
@@ -62,6 +63,7 @@
     applyUpstreams(state, aEvent.upstreams, state.now);
     state.upstreams.revision = 0;
   }
+  void operator()(const Contacts& aEvent) const { onContacts(state, aEvent); }
   void operator()(const PeerMessage& aEvent) const { handlePeer(state, aEvent); }
   void operator()(const PeerUp& /*aEvent*/) const {}
   void operator()(const PeerDown& /*aEvent*/) const {}
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -71,6 +71,8 @@
   std::uint64_t polls = 0;
   SessionId session{};
   std::optional<TimePoint> answeredAt;
+  TimePoint directAt;                   ///< last answer that came without a relay
+  std::vector<std::string> relays;      ///< endpoints
   std::uint64_t answered = 0; ///< highest poll that was answered
   std::uint32_t gateways = 1;
   TimePoint listAskedAt;
@@ -131,6 +133,9 @@
 void
 applyUpstreams(State& aState, const std::vector<UpstreamEntry>& aList, TimePoint aReadAt);
 
+void
+onContacts(State& aState, const Contacts& aContacts);
+
 // requests.cpp
 
 void
