--- a/include/rhubarbarch/gateway/options.h
+++ b/include/rhubarbarch/gateway/options.h
@@ -29,7 +29,7 @@
   Duration listRetry{ 1000 };        ///< between two such reads
 
   // Budgets
-  Duration allowanceWindow{ 4000 }; ///< demand that a gateway holds tokens for; a killed one loses about this much
+  Duration allowanceWindow{ 1500 }; ///< demand that a gateway holds tokens for: about an election; a killed one loses it
   Duration tokenWait{ 350 };        ///< longest wait for tokens: two elections would take longer than any target latency
 
   // Calls
--- a/src/gateway/plan_budgets.cpp
+++ b/src/gateway/plan_budgets.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 
 namespace rhubarbarch::gateway {
 
@@ -9,8 +10,9 @@
 
 /// Period in which demand is counted before the rate is updated.
 constexpr Duration kDemandPeriod{ 500 };
-/// Weight of the newest period when demand falls; a rise counts at once, so that a burst is covered.
-constexpr double kDemandDecay = 0.2;
+/// Time constant of the smoothed demand. What a gateway holds is lost when it is killed, so a single large request must
+/// not make it hold a multiple of itself; the tokens of a burst are asked for when they are needed.
+constexpr double kDemandSeconds = 4;
 /// Tokens held beyond the target before they are given back, as a share of the target: each return is a log entry.
 constexpr Tokens kReturnDivisor = 2;
 /// Older words of the leader on the remaining budget prove nothing.
@@ -77,8 +79,7 @@
   const auto seconds = std::chrono::duration<double>(passed).count();
   for (auto& [plan, budget] : aBudgets.plans) {
     const auto rate = static_cast<double>(budget.demandNow) / seconds;
-    const auto smoothed = (1 - kDemandDecay) * budget.demandPerSecond + kDemandDecay * rate;
-    budget.demandPerSecond = std::max(smoothed, std::min(rate, 2 * smoothed + rate / 2));
+    budget.demandPerSecond += (1 - std::exp(-seconds / kDemandSeconds)) * (rate - budget.demandPerSecond);
     budget.demandNow = 0;
   }
 }
--- a/src/gateway/requests.cpp
+++ b/src/gateway/requests.cpp
@@ -14,8 +14,8 @@
 constexpr Duration kTokensRetry{ 500 };
 /// When a caller that this gateway has no memory for should come back; another gateway may take it earlier.
 constexpr Duration kOverloadRetry{ 500 };
-/// When a caller of a gateway that knows no routes yet should come back.
-constexpr Duration kStartRetry{ 300 };
+/// When a caller of a gateway that knows no routes yet should come back: after an election and a poll.
+constexpr Duration kStartRetry{ 1200 };
 
 std::optional<GiveUp>
 identify(const State& aState, Request& aRequest)
