Log budgets, costs and proofs of exhaustion

Cause: 402s could not be traced to what was charged. Before: status only. After: each 402 names what is left, its age and this router's counters; controllers log budgets in force and what ended sessions left in doubt.

--- a/src/controller/gateways.cpp
+++ b/src/controller/gateways.cpp
@@ -32,6 +32,17 @@
     aContext.state.allowances, aPlan, state::prepaid(aContext.state.routing.table, aPlan));
 }
 
+/// What ended sessions used, by plan: `[spent, in doubt]`.
+nlohmann::json
+closedUse(const Context& aContext)
+{
+  auto closed = nlohmann::json::object();
+  for (const auto& [plan, use] : aContext.state.allowances.closed) {
+    closed[plan] = { use.spent, use.inDoubt };
+  }
+  return closed;
+}
+
 /// Opens a session for a new boot; its next poll names it.
 void
 openSession(Context& aContext, const Address& aFrom, const GatewayPoll& aPoll)
@@ -44,7 +55,9 @@
           [aFrom, poll = aPoll](Context& aDone, const state::Outcome& aOutcome) {
             const auto session = std::get<state::GatewayOutcome>(aOutcome).session;
             aDone.memory.gatewaysOpening.erase(poll.instance);
-            log(aDone, "gateway_opened", { { "gateway", poll.instance }, { "session", toNumber(session) } });
+            log(aDone,
+                "gateway_opened",
+                { { "gateway", poll.instance }, { "session", toNumber(session) }, { "closed", closedUse(aDone) } });
             auto answered = poll;
             answered.session = session;
             answerGateway(aDone, aFrom, answered);
--- a/src/controller/operators.cpp
+++ b/src/controller/operators.cpp
@@ -120,13 +120,26 @@
   reply(aContext, aId, 200, std::move(view));
 }
 
+nlohmann::json
+budgetsOf(const RoutingTable& aTable)
+{
+  auto budgets = nlohmann::json::object();
+  for (const auto& plan : aTable.plans) {
+    budgets[plan.plan] = plan.prepaid;
+  }
+  return budgets;
+}
+
 void
 answerRouting(Context& aContext, OperatorId aId, std::int64_t aVersion, state::RoutingOutcome aOutcome)
 {
   const auto held = aContext.state.routing.table.version;
   log(aContext,
       "routing_put",
-      { { "version", aVersion }, { "outcome", static_cast<int>(aOutcome) }, { "in_force", held } });
+      { { "version", aVersion },
+        { "outcome", static_cast<int>(aOutcome) },
+        { "in_force", held },
+        { "budgets", budgetsOf(aContext.state.routing.table) } });
   if (aOutcome == state::RoutingOutcome::kConflict) {
     replyError(aContext, aId, 409, "conflict", "other content is in force under this version");
     return;
--- a/src/gateway/finish.cpp
+++ b/src/gateway/finish.cpp
@@ -52,6 +52,8 @@
         { "sends", aRequest.sends },
         { "may_have_run", aRequest.mayHaveRun },
         { "events", aRequest.stream.events() },
+        { "reserved", aRequest.reserved ? aRequest.worstCase : 0 },
+        { "cost", aRequest.reserved ? cost(aRequest) : 0 },
         { "expected_ms", attempt ? attempt->expected.count() : 0 },
         { "total_ms", (aState.now - aRequest.arrivedAt).count() },
         { "routing", aRequest.index ? aRequest.index->table.version : 0 },
--- a/src/gateway/requests.cpp
+++ b/src/gateway/requests.cpp
@@ -131,6 +131,18 @@
     auto& budget = aState.budgets.plans[aRequest.plan];
     if (!reserve(budget, aRequest.worstCase)) {
       if (provedExhausted(budget, aRequest.worstCase, aState.now)) {
+        log(aState,
+            Severity::kInfo,
+            "budget_exhausted",
+            { { "request", aRequest.call.requestId },
+              { "plan", aRequest.plan },
+              { "needed", aRequest.worstCase },
+              { "remaining", budget.remaining },
+              { "age_ms", (aState.now - budget.remainingAt).count() },
+              { "issued", budget.issued },
+              { "returned", budget.returned },
+              { "spent", budget.spent },
+              { "reserved", budget.reserved } });
         giveUp(aState, aRequest.call.caller, { 402, "budget_exhausted", {} });
         return;
       }
