--- a/include/rhubarbarch/gateway/options.h
+++ b/include/rhubarbarch/gateway/options.h
@@ -29,7 +29,7 @@
   Duration listRetry{ 1000 };        ///< between two such reads
 
   // Budgets
-  Duration allowanceWindow{ 1500 }; ///< demand that a gateway holds tokens for: about an election; a killed one loses it
+  Duration allowanceWindow{ 500 }; ///< demand that a gateway holds tokens for: two polls; a killed one loses it
   Duration tokenWait{ 350 };        ///< longest wait for tokens: two elections would take longer than any target latency
 
   // Calls
--- a/src/gateway/finish.cpp
+++ b/src/gateway/finish.cpp
@@ -15,11 +15,12 @@
 constexpr std::int32_t kTimedOut = 504;
 constexpr std::int32_t kUnavailable = 503;
 
-/// Tokens that the request cost: its prompt once if it may have run, and the output that was passed on.
+/// Tokens that the request cost. A caller pays for its prompt once it has received some of the output, and for the
+/// output that was passed on; one that received nothing pays nothing, whatever an upstream read in vain.
 Tokens
 cost(const Request& aRequest)
 {
-  if (aRequest.mayHaveRun <= 0) {
+  if (aRequest.stream.events() == 0) {
     return 0;
   }
   const auto output = aRequest.stream.events() * std::max<Tokens>(aRequest.service->engine.eventTokens, 1);
--- a/src/gateway/plan_budgets.cpp
+++ b/src/gateway/plan_budgets.cpp
@@ -14,7 +14,7 @@
 /// not make it hold a multiple of itself; the tokens of a burst are asked for when they are needed.
 constexpr double kDemandSeconds = 4;
 /// Tokens held beyond the target before they are given back, as a share of the target: each return is a log entry.
-constexpr Tokens kReturnDivisor = 2;
+constexpr Tokens kReturnDivisor = 4;
 /// Older words of the leader on the remaining budget prove nothing.
 constexpr Duration kRemainingKept{ 1000 };
 
