--- a/src/consensus/membership.cpp
+++ b/src/consensus/membership.cpp
@@ -94,7 +94,7 @@
 std::optional<Member>
 predecessor(const Core& aCore, const Member& aLearner, TimePoint aNow)
 {
-  const auto earlier = earlierIdentity(aCore, aLearner);
+  auto earlier = earlierIdentity(aCore, aLearner);
   if (earlier || !aCore.options.openMembership) {
     return earlier;
   }
--- a/src/daemon/controller_part.cpp
+++ b/src/daemon/controller_part.cpp
@@ -7,7 +7,7 @@
 
 #include <algorithm>
 #include <iterator>
-#include <optional>
+#include <memory>
 #include <random>
 #include <utility>
 #include <variant>
@@ -60,7 +60,7 @@
                  std::unique_ptr<controller::ControllerRole> aRole,
                  Reply aReply)
     : mProcess(aProcess)
-    , mStore(std::move(aStore))
+    , mStore(std::make_unique<consensus::LogStore>(std::move(aStore)))
     , mReply(std::move(aReply))
     , mFirst(aRole->start(now()))
     , mLoop("controller", std::move(aRole), tick, [this](controller::Actions&& aActions) {
@@ -79,7 +79,7 @@
   // Writes and syncs all records of the batch once, before anything of the batch is sent.
   bool execute(controller::Actions&& aActions)
   {
-    if (mReopenAt && !reopen()) {
+    if (!mStore && !reopen()) {
       return true; // nothing that this role says may be heard: it knows what no disk holds
     }
     std::vector<consensus::StorageRecord> records;
@@ -107,7 +107,7 @@
   /// @return true when the role of the next batch is the new one
   bool reopen()
   {
-    if (now() < *mReopenAt) {
+    if (now() < mReopenAt) {
       return false;
     }
     mReopenAt = now() + kReopenPeriod;
@@ -117,11 +117,10 @@
       mProcess.log.write({ Severity::kError, "data_folder_not_opened", { { "detail", opened.error().detail } } });
       return false;
     }
-    mStore = std::move(opened.value().store);
+    mStore = std::make_unique<consensus::LogStore>(std::move(opened.value().store));
     auto role = makeRole(mProcess, std::move(opened.value().state));
     auto first = role->start(now());
     mLoop.replace(std::move(role));
-    mReopenAt.reset();
     mProcess.log.write({ Severity::kInfo, "data_folder_reopened", {} });
     execute(std::move(first));
     return false; // the batch at hand is the old role's
@@ -145,8 +144,8 @@
   void run(const controller::Stopped& /*unused*/) { mProcess.stopped(Role::kController); }
 
   Process& mProcess;
-  std::optional<consensus::LogStore> mStore; ///< empty while the disk refuses writes
-  std::optional<TimePoint> mReopenAt;
+  std::unique_ptr<consensus::LogStore> mStore; ///< null while the disk refuses writes
+  TimePoint mReopenAt;                         ///< next attempt while there is no store
   Reply mReply;
   controller::Actions mFirst;
   Loop mLoop;
--- a/src/gateway/attempts.cpp
+++ b/src/gateway/attempts.cpp
@@ -206,7 +206,7 @@
   upstream.cache.use(aRequest.call.prompt, aRequest.service->engine.kvTokens);
   aState.exchanges[attempt.exchange] = aRequest.call.caller;
   aRequest.tried.insert(attempt.upstreamId);
-  aRequest.attempt = std::move(attempt);
+  aRequest.attempt = std::make_unique<Attempt>(std::move(attempt));
   ++aRequest.sends;
   ++aRequest.mayHaveRun;
   aState.actions.emplace_back(makeCall(aState, aRequest, upstream));
@@ -265,7 +265,7 @@
   if (upstream != nullptr) {
     noteAnswer(*upstream, aHead.status >= kFirstFailure, aState.now);
   }
-  request->attempt->head = aHead;
+  request->attempt->head = std::make_unique<UpstreamHead>(aHead);
 }
 
 void
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -14,7 +14,7 @@
 void
 begin(State& aState)
 {
-  if (aState.startedAt) {
+  if (std::exchange(aState.started, true)) {
     return;
   }
   aState.startedAt = aState.now;
--- a/src/gateway/requests.cpp
+++ b/src/gateway/requests.cpp
@@ -146,8 +146,8 @@
   request.arrivedAt = aState.now;
   aState.heldBytes += aCall.body->size();
   request.endsAt = aState.now + (aCall.deadline > Duration{ 0 } ? aCall.deadline : kUnknownDeadline);
-  if (!aState.index && aState.now - *aState.startedAt < aState.options.startWait) {
-    request.waitsUntil = std::min(*aState.startedAt + aState.options.startWait, request.endsAt);
+  if (!aState.index && aState.now - aState.startedAt < aState.options.startWait) {
+    request.waitsUntil = std::min(aState.startedAt + aState.options.startWait, request.endsAt);
     return;
   }
   advance(aState, request);
--- a/src/gateway/route_index.cpp
+++ b/src/gateway/route_index.cpp
@@ -14,7 +14,7 @@
     index->byHost[route.host].push_back(&route);
   }
   for (auto& [host, routes] : index->byHost) {
-    std::ranges::stable_sort(routes, std::greater{}, [](const Route* aRoute) { return aRoute->pathPrefix.size(); });
+    std::ranges::sort(routes, std::greater{}, [](const Route* aRoute) { return aRoute->pathPrefix.size(); });
   }
   for (const auto& plan : index->table.plans) {
     for (const auto& key : plan.keys) {
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -31,7 +31,7 @@
   Duration expected{ 0 };
   Tokens missing = 0; ///< prompt tokens counted as being read there until the first event
   bool firstBytes = false;
-  std::optional<UpstreamHead> head;
+  std::unique_ptr<UpstreamHead> head; ///< null: not received yet
 };
 
 /// One request of a caller.
@@ -49,7 +49,7 @@
   Tokens worstCase = 0;
   bool reserved = false;
   std::optional<TimePoint> waitsUntil; ///< for tokens, or for the first document
-  std::optional<Attempt> attempt;
+  std::unique_ptr<Attempt> attempt;    ///< null: none in progress
   std::set<std::string> tried;
   int sends = 0;      ///< attempts of which something left this process
   int mayHaveRun = 0; ///< attempts that are not proved not to have run
@@ -97,7 +97,8 @@
   std::mt19937_64 random;
   TimePoint now; ///< of the event that is handled
   Actions actions;
-  std::optional<TimePoint> startedAt;
+  bool started = false;
+  TimePoint startedAt;
 
   std::shared_ptr<const RouteIndex> index; ///< null: no document yet
   Upstreams upstreams;
--- a/tests/state/allowances_test.cpp
+++ b/tests/state/allowances_test.cpp
@@ -134,6 +134,7 @@
   const auto draw = [&random](Tokens aMost) { return std::uniform_int_distribution<Tokens>(0, aMost)(random); };
   std::vector<std::uint64_t> boots(3, 1);
   std::vector<SessionId> sessions;
+  sessions.reserve(boots.size());
   for (std::size_t i = 0; i < boots.size(); ++i) {
     sessions.push_back(open("g" + std::to_string(i), boots[i]));
   }
