--- a/src/consensus/log.cpp
+++ b/src/consensus/log.cpp
@@ -10,6 +10,10 @@
 
 namespace {
 
+// Entries before the snapshot that hold more than this together are dropped, however few they are: they may be
+// documents of hundreds of kilobytes, and a follower that is behind gets the snapshot instead.
+constexpr std::size_t kMaxTrailingBytes = std::size_t{ 2 } * 1024 * 1024;
+
 const std::vector<Member> kNoMembers;
 
 void
@@ -23,13 +27,27 @@
   }
 }
 
+/// Bytes of the entries up to the snapshot.
+std::size_t
+trailingBytes(const Log& aLog)
+{
+  std::size_t bytes = 0;
+  for (const auto& entry : aLog.entries) {
+    bytes += entry.index <= snapshotIndex(aLog) ? entry.data.data.size() : 0;
+  }
+  return bytes;
+}
+
 /// Drops entries before the trailing ones that precede the snapshot.
 void
 dropPrefix(Log& aLog)
 {
   const auto keepAfter =
     toNumber(snapshotIndex(aLog)) - std::min<std::uint64_t>(toNumber(snapshotIndex(aLog)), kTrailingEntries);
-  while (!aLog.entries.empty() && toNumber(aLog.entries.front().index) <= keepAfter) {
+  auto bytes = trailingBytes(aLog);
+  while (!aLog.entries.empty() && aLog.entries.front().index <= snapshotIndex(aLog) &&
+         (toNumber(aLog.entries.front().index) <= keepAfter || bytes > kMaxTrailingBytes)) {
+    bytes -= aLog.entries.front().data.data.size();
     aLog.baseIndex = aLog.entries.front().index;
     aLog.baseTerm = aLog.entries.front().term;
     aLog.entries.pop_front();
--- a/src/controller/controller_role.cpp
+++ b/src/controller/controller_role.cpp
@@ -16,6 +16,9 @@
 
 namespace {
 
+// Commands that hold whole documents fill memory and disk long before they are many; a few documents of the largest
+// size that operators may send fit in.
+constexpr std::size_t kSnapshotBytes = std::size_t{ 4 } * 1024 * 1024;
 // Time for a follower to take over before the process ends all the same.
 constexpr Duration kHandoverTime{ 2000 };
 
@@ -136,6 +139,7 @@
   bool stopped = false;
   bool failed = false;
   std::set<InstanceId> connected; ///< controllers that a connection was asked for
+  std::size_t appliedBytes = 0;   ///< of commands since the last snapshot
   std::uint64_t commandsApplied = 0;
   std::uint64_t leaderships = 0;
 };
@@ -236,6 +240,7 @@
   if (aEntry.kind != EntryKind::kCommand) {
     return;
   }
+  appliedBytes += aEntry.data.data.size();
   const auto command = state::decodeCommand(aEntry.data.data);
   auto step = context();
   if (!command.has_value()) {
@@ -348,10 +353,12 @@
 ControllerRole::Core::compact()
 {
   const auto applied = replica.appliedIndex();
-  if (stopped || toNumber(applied) < toNumber(compactedIndex) + options.snapshotEntries) {
+  const bool many = toNumber(applied) >= toNumber(compactedIndex) + options.snapshotEntries;
+  if (stopped || (!many && appliedBytes < kSnapshotBytes)) {
     return;
   }
   compactedIndex = applied;
+  appliedBytes = 0;
   outputs.push_back(replica.compact(state::encode(state)));
 }
 
--- a/tests/controller/gateways_test.cpp
+++ b/tests/controller/gateways_test.cpp
@@ -156,3 +156,18 @@
   fleet.run(kSoon);
   CHECK(fleet.last<GatewayState>(kFirst).superseded);
 }
+
+// Load pattern: large documents in quick succession. Guards against the log growing by all of them: a controller with
+// 110 MB passed its limit (hunt-3d1b-35 of Cairo).
+TEST(GatewaysController, keepsFewLargeDocumentsInMemory)
+{
+  const std::string large(std::size_t{ 512 } * 1024, 'x');
+  for (std::int64_t version = 1; version <= 30; ++version) {
+    fleet.start(fleet.leader(), controller::PutRouting{ tableOf(version, 1000), large, std::to_string(version) });
+    fleet.run(kSoon);
+  }
+  const auto metrics = fleet.roles.at(fleet.leader())->metrics();
+  const auto entries = std::ranges::find(metrics, "rhubarbarch_controller_log_entries", &Metric::name);
+  CHECK(entries->value < 20);
+  CHECK_EQUAL(30, fleet.state().routing.table.version);
+}
