--- a/src/daemon/gateway_part.cpp
+++ b/src/daemon/gateway_part.cpp
@@ -54,7 +54,7 @@
 }
 
 /// The gateway role with its callers and upstreams on one thread: handing each event of a stream from thread to thread
-/// would cost a wake-up a hop, more than all other work on it.
+/// would cost a wake-up a hop.
 class GatewayPart : public RolePart
 {
 public:
--- a/tests/gateway/budgets_test.cpp
+++ b/tests/gateway/budgets_test.cpp
@@ -121,7 +121,7 @@
 }
 
 // Load pattern: a rolling restart. Guards against a gateway that leaves asking for no tokens, although callers still
-// come until the balancer has noticed: 121 requests of one recorded day were refused for that.
+// come until the balancer has noticed: most of 80 refusals of one recorded day came from that.
 TEST(GatewayBudgets, asksForTokensWhileLeaving)
 {
   fleet.start(0);
--- a/tests/gateway/placement_test.cpp
+++ b/tests/gateway/placement_test.cpp
@@ -70,7 +70,7 @@
 }
 
 // Load pattern: clumps of requests of one session. Guards against a short queue sending the session to another
-// upstream, which has to read its whole prompt again: 160 times a minute on a quiet day.
+// upstream, which has to read its whole prompt again.
 TEST(Placement, keepsASessionWhileItsQueueIsShort)
 {
   const auto chosen = choose(prompt(1, 1)).upstream;
