Propose one report of a gateway session at a time

Cause: while commits are slow, each poll of a gateway proposed the same change of its budgets again, and each applied report proposed one more for every gateway whose requests wait. Each proposal keeps its poll and report until it is applied.

Now a session has at most one report proposed; what its later polls change follows once that one is applied. A command that is refused, because the leadership is being handed over, leaves no mark behind that would keep a session from being opened or reported later.

--- a/src/controller/context.cpp
+++ b/src/controller/context.cpp
@@ -29,27 +29,31 @@
   reply(aContext, aOperator, aStatus, { { "error", std::move(aError) }, { "detail", std::move(aDetail) } });
 }
 
-void
+bool
 propose(Context& aContext, state::Command aCommand)
 {
-  aContext.proposer.propose(std::move(aCommand), {}, std::nullopt);
+  return aContext.proposer.propose(std::move(aCommand), {}, std::nullopt);
 }
 
-void
+bool
 propose(Context& aContext, state::Command aCommand, Completion aDone)
 {
-  aContext.proposer.propose(std::move(aCommand), std::move(aDone), std::nullopt);
+  return aContext.proposer.propose(std::move(aCommand), std::move(aDone), std::nullopt);
 }
 
 void
 proposeForSession(Context& aContext, SessionId aSession, state::Command aCommand)
 {
-  if (!aContext.memory.proposedSessions.insert(aSession).second) {
+  if (aContext.memory.proposedSessions.contains(aSession)) {
     return;
   }
-  propose(aContext, std::move(aCommand), [aSession](Context& aDone, const state::Outcome& /*aOutcome*/) {
-    aDone.memory.proposedSessions.erase(aSession);
-  });
+  const bool proposed =
+    propose(aContext, std::move(aCommand), [aSession](Context& aDone, const state::Outcome& /*aOutcome*/) {
+      aDone.memory.proposedSessions.erase(aSession);
+    });
+  if (proposed) {
+    aContext.memory.proposedSessions.insert(aSession);
+  }
 }
 
 bool
--- a/src/controller/context.h
+++ b/src/controller/context.h
@@ -29,7 +29,8 @@
   /// @param aCommand the command
   /// @param aDone runs when it is committed
   /// @param aOperator who gets `not_leader` when leadership is lost before that
-  virtual void propose(state::Command aCommand, Completion aDone, std::optional<OperatorId> aOperator) = 0;
+  /// @return false when this controller takes no commands now: it hands over or has lost the leadership
+  virtual bool propose(state::Command aCommand, Completion aDone, std::optional<OperatorId> aOperator) = 0;
   /// @return the instances of the group's members
   virtual std::vector<InstanceId> members() const = 0;
 };
@@ -60,10 +61,11 @@
 replyError(Context& aContext, OperatorId aOperator, std::int32_t aStatus, std::string aError, std::string aDetail);
 
 /// Proposes a command whose outcome nobody waits for.
-void
+bool
 propose(Context& aContext, state::Command aCommand);
 
-void
+/// @return false when no command is taken now; `aDone` does not run then
+bool
 propose(Context& aContext, state::Command aCommand, Completion aDone);
 
 /// Proposes a change of a session once; until it is committed further ones for the session are dropped.
--- a/src/controller/controller_role.cpp
+++ b/src/controller/controller_role.cpp
@@ -84,7 +84,7 @@
 
   Context context() { return { options, state, memory, platform, *this, *actions, now, unixMs }; }
 
-  void propose(state::Command aCommand, Completion aDone, std::optional<OperatorId> aOperator) override;
+  bool propose(state::Command aCommand, Completion aDone, std::optional<OperatorId> aOperator) override;
   std::vector<InstanceId> members() const override;
 
   // Does what the replica's outputs ask for until there is none left; completions may add further ones.
@@ -144,7 +144,7 @@
   std::uint64_t leaderships = 0;
 };
 
-void
+bool
 ControllerRole::Core::propose(state::Command aCommand, Completion aDone, std::optional<OperatorId> aOperator)
 {
   consensus::Output output;
@@ -155,6 +155,7 @@
     refuseOperator(*aOperator);
   }
   outputs.push_back(std::move(output));
+  return index.has_value();
 }
 
 std::vector<InstanceId>
--- a/src/controller/gateways.cpp
+++ b/src/controller/gateways.cpp
@@ -45,21 +45,25 @@
 void
 openSession(Context& aContext, const Address& aFrom, const GatewayPoll& aPoll)
 {
-  if (!aContext.memory.gatewaysOpening.insert(aPoll.instance).second) {
+  if (aContext.memory.gatewaysOpening.contains(aPoll.instance)) {
     return;
   }
-  propose(aContext,
-          state::OpenGateway{ aPoll.instance, aPoll.boot },
-          [aFrom, poll = aPoll](Context& aDone, const state::Outcome& aOutcome) {
-            const auto session = std::get<state::GatewayOutcome>(aOutcome).session;
-            aDone.memory.gatewaysOpening.erase(poll.instance);
-            log(aDone,
-                "gateway_opened",
-                { { "gateway", poll.instance }, { "session", toNumber(session) }, { "closed", closedUse(aDone) } });
-            auto answered = poll;
-            answered.session = session;
-            answerGateway(aDone, aFrom, answered);
-          });
+  const bool proposed =
+    propose(aContext,
+            state::OpenGateway{ aPoll.instance, aPoll.boot },
+            [aFrom, poll = aPoll](Context& aDone, const state::Outcome& aOutcome) {
+              const auto session = std::get<state::GatewayOutcome>(aOutcome).session;
+              aDone.memory.gatewaysOpening.erase(poll.instance);
+              log(aDone,
+                  "gateway_opened",
+                  { { "gateway", poll.instance }, { "session", toNumber(session) }, { "closed", closedUse(aDone) } });
+              auto answered = poll;
+              answered.session = session;
+              answerGateway(aDone, aFrom, answered);
+            });
+  if (proposed) {
+    aContext.memory.gatewaysOpening.insert(aPoll.instance);
+  }
 }
 
 bool
@@ -238,38 +242,61 @@
   }
 }
 
-void
-proposeReport(Context& aContext, const Address& aFrom, const GatewayPoll& aPoll, state::ReportAllowances aReport);
+/// Proposes what changes because of a gateway's last poll, if anything does.
+/// @return false when nothing changes
+bool
+proposeChanges(Context& aContext, SessionId aSession);
 
 /// Issues returned tokens to gateways whose requests wait for them, without waiting for their next polls.
 void
 serveWaiting(Context& aContext, const state::ReportAllowances& aReport)
 {
   for (const auto& [session, gateway] : aContext.memory.gateways) {
-    const auto* found = session == aReport.session ? nullptr : findSession(aContext, gateway.poll);
     const bool waits = std::ranges::any_of(
       aReport.plans, [&](const state::AllowanceReport& aPlan) { return waitsFor(gateway.poll, aPlan.plan); });
-    if (found == nullptr || !waits || !known(aContext, session, aContext.options.gateways.demandKept)) {
-      continue;
-    }
-    auto report = changes(aContext, *found, gateway.poll);
-    if (!report.plans.empty()) {
-      proposeReport(aContext, gateway.from, gateway.poll, std::move(report));
+    if (session != aReport.session && waits && known(aContext, session, aContext.options.gateways.demandKept)) {
+      proposeChanges(aContext, session);
     }
   }
 }
 
-/// A committed entry proves the leadership as a confirmed read does, and the answer can name what was issued.
+/// Answers the last poll of a gateway whose report is applied; it may be a later one than that of the report.
 void
-proposeReport(Context& aContext, const Address& aFrom, const GatewayPoll& aPoll, state::ReportAllowances aReport)
+reportApplied(Context& aContext, const state::ReportAllowances& aReport)
+{
+  const auto found = aContext.memory.gateways.find(aReport.session);
+  if (found != aContext.memory.gateways.end()) {
+    auto& gateway = found->second;
+    gateway.reportProposed = false;
+    answerGateway(aContext, gateway.from, gateway.poll);
+    recallForWaiting(aContext, gateway.poll);
+    proposeChanges(aContext, aReport.session);
+  }
+  serveWaiting(aContext, aReport);
+}
+
+bool
+proposeChanges(Context& aContext, SessionId aSession)
 {
-  const auto report = aReport;
-  propose(
-    aContext, std::move(aReport), [aFrom, poll = aPoll, report](Context& aDone, const state::Outcome& /*unused*/) {
-      answerGateway(aDone, aFrom, poll);
-      serveWaiting(aDone, report);
-      recallForWaiting(aDone, poll);
-    });
+  auto& gateway = aContext.memory.gateways.at(aSession);
+  const auto* session = findSession(aContext, gateway.poll);
+  if (session == nullptr) {
+    return false;
+  }
+  auto report = changes(aContext, *session, gateway.poll);
+  if (report.plans.empty()) {
+    return false;
+  }
+  // While commits are slow each poll would propose the same again: one report of a session at a time, and what
+  // changed meanwhile after it.
+  if (!gateway.reportProposed) {
+    const auto proposed = report;
+    gateway.reportProposed =
+      propose(aContext, std::move(report), [proposed](Context& aDone, const state::Outcome& /*aOutcome*/) {
+        reportApplied(aDone, proposed);
+      });
+  }
+  return true;
 }
 
 } // namespace
@@ -321,18 +348,15 @@
   if (overtaken(aContext, *poll)) {
     return true;
   }
-  const auto* session = findSession(aContext, *poll);
-  if (session == nullptr) {
+  if (findSession(aContext, *poll) == nullptr) {
     aContext.memory.nextRead.gatewayPolls.push_back({ aFrom, *poll });
     return true;
   }
   remember(aContext, aFrom, *poll);
-  auto report = changes(aContext, *session, *poll);
-  if (report.plans.empty()) {
+  // A committed entry proves the leadership as a confirmed read does, and its answer can name what was issued.
+  if (!proposeChanges(aContext, poll->session)) {
     aContext.memory.nextRead.gatewayPolls.push_back({ aFrom, *poll });
     recallForWaiting(aContext, *poll);
-  } else {
-    proposeReport(aContext, aFrom, *poll, std::move(report));
   }
   return true;
 }
--- a/src/controller/memory.h
+++ b/src/controller/memory.h
@@ -73,6 +73,7 @@
   TimePoint lastSeen;
   GatewayPoll poll; ///< the last one
   TimePoint recalledAt;
+  bool reportProposed = false; ///< a report of it is proposed and not applied yet
 };
 
 struct PendingGatewayPoll
--- a/tests/controller/gateways_test.cpp
+++ b/tests/controller/gateways_test.cpp
@@ -171,3 +171,46 @@
   CHECK(entries->value < 20);
   CHECK_EQUAL(30, fleet.state().routing.table.version);
 }
+
+namespace {
+
+double
+logEntries(ControllerHarness& aFleet)
+{
+  const auto metrics = aFleet.roles.at(aFleet.leader())->metrics();
+  return std::ranges::find(metrics, "rhubarbarch_controller_log_entries", &Metric::name)->value;
+}
+
+} // namespace
+
+// Load pattern: gateways poll faster than changes are committed, at the end of a partition for example. Guards against
+// each poll proposing what an earlier one has proposed: 7,000 proposals filled 110 MB (Cairo, scale-1, seed
+// 470635964639).
+TEST(GatewaysController, proposesOneReportOfASessionAtATime)
+{
+  ControllerHarness group(3);
+  GatewayPoll poll;
+  poll.instance = kFirst.instance;
+  poll.boot = Boot{ 1 };
+  poll.number = 1;
+  group.start(group.leader(), controller::PutRouting{ tableOf(3, 1000), "source", "digest" });
+  group.run(kSoon);
+  group.send(kFirst, poll);
+  group.run(kSoon);
+  poll.session = group.last<GatewayState>(kFirst).session;
+  std::ranges::for_each(group.roles, [&](const auto& aRole) {
+    if (!aRole.second->isLeader()) {
+      group.cut.insert(aRole.first);
+    }
+  });
+  const auto before = logEntries(group);
+  for (Tokens target = 1; target <= 100; ++target) {
+    ++poll.number;
+    poll.plans = { { "gold", 0, 0, 0, target, target } };
+    group.send(kFirst, poll);
+  }
+  CHECK_EQUAL(before + 1, logEntries(group));
+  group.cut.clear();
+  group.run(Duration{ 1000 });
+  CHECK_EQUAL(100, group.last<GatewayState>(kFirst).plans.at(0).issued);
+}
