--- a/include/rhubarbarch/net/http_server.h
+++ b/include/rhubarbarch/net/http_server.h
@@ -7,16 +7,14 @@
 #include "rhubarbarch/router/events.h"
 #include "rhubarbarch/settings/settings.h"
 
+#include <boost/asio/io_context.hpp>
+
 #include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
 
-namespace boost::asio {
-class io_context;
-} // namespace boost::asio
-
 namespace rhubarbarch::net {
 
 /// Limits of an HTTP server.
--- a/include/rhubarbarch/net/platform_poller.h
+++ b/include/rhubarbarch/net/platform_poller.h
@@ -5,13 +5,11 @@
 #include "rhubarbarch/controller/events.h"
 #include "rhubarbarch/settings/settings.h"
 
+#include <boost/asio/io_context.hpp>
+
 #include <functional>
 #include <memory>
 
-namespace boost::asio {
-class io_context;
-} // namespace boost::asio
-
 namespace rhubarbarch::net {
 
 /// Settings of the poller.
--- a/include/rhubarbarch/net/upstream_client.h
+++ b/include/rhubarbarch/net/upstream_client.h
@@ -6,13 +6,11 @@
 #include "rhubarbarch/base/time.h"
 #include "rhubarbarch/settings/settings.h"
 
+#include <boost/asio/io_context.hpp>
+
 #include <functional>
 #include <memory>
 
-namespace boost::asio {
-class io_context;
-} // namespace boost::asio
-
 namespace rhubarbarch::net {
 
 /// Settings of the client of one upstream.
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -1,6 +1,7 @@
 #include "http_connection.h"
 
 #include "http_text.h"
+#include "ignore_error.h"
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -10,7 +11,6 @@
 
 #include <array>
 #include <deque>
-#include <optional>
 #include <utility>
 
 namespace rhubarbarch::net {
@@ -58,7 +58,7 @@
     , mBuffer(mShared->options.maxHeaderBytes + mShared->options.maxPipelinedBytes + kReadBytes)
   {
     error_code ignored;
-    mSocket.set_option(tcp::no_delay(true), ignored);
+    ignoreError(mSocket.set_option(tcp::no_delay(true), ignored));
   }
 
   ~Connection() override
@@ -127,7 +127,7 @@
   boost::asio::steady_timer mWriteTimer;
   std::shared_ptr<HttpShared> mShared;
   boost::beast::flat_buffer mBuffer;
-  std::optional<Parser> mParser;
+  std::unique_ptr<Parser> mParser;
   std::deque<Piece> mOut;
   Phase mPhase = Phase::kIdle;
   router::CallerId mCaller{};
@@ -148,7 +148,7 @@
 Connection::awaitRequest(Duration aTimeout)
 {
   mPhase = Phase::kIdle;
-  mParser.emplace();
+  mParser = std::make_unique<Parser>();
   mParser->header_limit(static_cast<std::uint32_t>(mShared->options.maxHeaderBytes));
   mParser->body_limit(mShared->options.maxBodyBytes);
   mParser->eager(true);
@@ -458,7 +458,7 @@
     answerDone();
   } else if (mPhase == Phase::kClosing) {
     error_code ignored;
-    mSocket.shutdown(tcp::socket::shutdown_send, ignored);
+    ignoreError(mSocket.shutdown(tcp::socket::shutdown_send, ignored));
     armTimer(kLinger);
     read();
   }
@@ -521,7 +521,7 @@
     return;
   }
   error_code ignored;
-  mSocket.close(ignored);
+  ignoreError(mSocket.close(ignored));
   mTimer.cancel();
   mWriteTimer.cancel();
   if (mPhase == Phase::kAnswering) {
--- a/src/net/http_exchange.cpp
+++ b/src/net/http_exchange.cpp
@@ -1,5 +1,7 @@
 #include "http_exchange.h"
 
+#include "ignore_error.h"
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -82,7 +84,9 @@
 {
   error_code error;
   char byte = 0;
-  aSocket.non_blocking(true, error);
+  if (aSocket.non_blocking(true, error)) {
+    return false;
+  }
   aSocket.receive(boost::asio::buffer(&byte, 1), tcp::socket::message_peek, error);
   return error == boost::asio::error::would_block;
 }
@@ -133,7 +137,7 @@
   tcp::socket mSocket;
   boost::asio::steady_timer mTimer;
   boost::beast::flat_buffer mBuffer;
-  std::optional<Parser> mParser;
+  std::unique_ptr<Parser> mParser;
   std::array<char, kReadBytes> mChunk{};
   std::string mHeld;       ///< read before a pause took effect
   bool mMayBeSent = false; ///< a write was begun and did not end with zero bytes written
@@ -200,12 +204,13 @@
     return;
   }
   error_code ignored;
-  mSocket.set_option(tcp::no_delay(true), ignored);
+  ignoreError(mSocket.set_option(tcp::no_delay(true), ignored));
   if (mCall.unackedTimeout > Duration{ 0 }) {
-    mSocket.set_option(UserTimeout(static_cast<int>(mCall.unackedTimeout.count())), ignored);
-    mSocket.set_option(boost::asio::socket_base::keep_alive(true), ignored);
-    mSocket.set_option(boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>(1), ignored);
-    mSocket.set_option(boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>(1), ignored);
+    ignoreError(mSocket.set_option(UserTimeout(static_cast<int>(mCall.unackedTimeout.count())), ignored));
+    ignoreError(mSocket.set_option(boost::asio::socket_base::keep_alive(true), ignored));
+    ignoreError(mSocket.set_option(boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>(1), ignored));
+    ignoreError(
+      mSocket.set_option(boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>(1), ignored));
   }
   send();
 }
@@ -245,7 +250,7 @@
 void
 Exchange::prepareParser()
 {
-  mParser.emplace();
+  mParser = std::make_unique<Parser>();
   mParser->header_limit(kMaxHeadBytes);
   // Without a limit, Beast of Boost 1.74 refuses every answer with a length.
   mParser->body_limit(std::numeric_limits<std::uint64_t>::max());
@@ -431,7 +436,7 @@
 {
   error_code ignored;
   mTimer.cancel();
-  mSocket.close(ignored);
+  ignoreError(mSocket.close(ignored));
 }
 
 void
@@ -468,7 +473,9 @@
 }
 
 std::shared_ptr<HttpExchange>
-fetch(std::shared_ptr<HttpPool> aPool, HttpCall aCall, std::function<void(std::int32_t, const std::string&)> aDone)
+fetch(std::shared_ptr<HttpPool> aPool,
+      HttpCall aCall,
+      const std::function<void(std::int32_t, const std::string&)>& aDone)
 {
   struct Gathered
   {
--- a/src/net/http_exchange.h
+++ b/src/net/http_exchange.h
@@ -99,6 +99,8 @@
 /// Sends a request and gathers its answer.
 /// @param aDone gets status and body; status 0 when the exchange failed, with the reason as body
 std::shared_ptr<HttpExchange>
-fetch(std::shared_ptr<HttpPool> aPool, HttpCall aCall, std::function<void(std::int32_t, const std::string&)> aDone);
+fetch(std::shared_ptr<HttpPool> aPool,
+      HttpCall aCall,
+      const std::function<void(std::int32_t, const std::string&)>& aDone);
 
 } // namespace rhubarbarch::net
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -1,6 +1,7 @@
 #include "rhubarbarch/net/http_server.h"
 
 #include "http_connection.h"
+#include "ignore_error.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -92,7 +93,7 @@
 HttpServer::~HttpServer()
 {
   boost::system::error_code ignored;
-  mState->acceptor.close(ignored);
+  ignoreError(mState->acceptor.close(ignored));
   mState->shared->destroyed = true;
   mState->shared->callers.clear();
 }
@@ -105,17 +106,11 @@
   const auto address = boost::asio::ip::make_address(listen.address, error);
   const tcp::endpoint endpoint(address, listen.port);
   auto& acceptor = mState->acceptor;
-  if (!error) {
-    acceptor.open(endpoint.protocol(), error);
-  }
-  if (!error) {
-    acceptor.set_option(tcp::acceptor::reuse_address(true), error);
-    acceptor.bind(endpoint, error);
-  }
-  if (!error) {
-    acceptor.listen(boost::asio::socket_base::max_listen_connections, error);
-  }
-  if (error) {
+  const bool listens = !error && !acceptor.open(endpoint.protocol(), error) &&
+                       !acceptor.set_option(tcp::acceptor::reuse_address(true), error) &&
+                       !acceptor.bind(endpoint, error) &&
+                       !acceptor.listen(boost::asio::socket_base::max_listen_connections, error);
+  if (!listens) {
     const auto place = mState->shared->options.name + " listener " + settings::toString(listen);
     return failure(ErrorCode::kIo, place + ": " + error.message());
   }
@@ -182,7 +177,7 @@
 HttpServer::stop()
 {
   boost::system::error_code ignored;
-  mState->acceptor.close(ignored);
+  ignoreError(mState->acceptor.close(ignored));
   mState->shared->stopping = true;
   std::vector<std::shared_ptr<HttpConnection>> open;
   for (const auto& [key, connection] : mState->shared->connections) {
--- a/src/net/log_writer.cpp
+++ b/src/net/log_writer.cpp
@@ -197,7 +197,7 @@
 LogWriter::~LogWriter() = default;
 
 void
-LogWriter::write(LogLine aLine)
+LogWriter::write(const LogLine& aLine)
 {
   auto text = formatLogLine(aLine, mState->instance, unixMicroseconds());
   auto line = std::make_unique<State::Queued>(State::Queued{ aLine.severity, std::move(text) });
@@ -205,7 +205,8 @@
     ++mState->dropped;
     return;
   }
-  static_cast<void>(line.release());
+  // The ring owns the line now.
+  [[maybe_unused]] const auto* queued = line.release();
   mState->queued.release();
 }
 
--- a/src/net/metrics_page.cpp
+++ b/src/net/metrics_page.cpp
@@ -3,6 +3,9 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <string>
+#include <string_view>
+#include <tuple>
 
 namespace rhubarbarch::net {
 
@@ -39,7 +42,8 @@
 std::string
 metricsPage(Metrics aMetrics)
 {
-  std::ranges::stable_sort(aMetrics, {}, &Metric::name);
+  // Samples of one name stand together, by labels.
+  std::ranges::sort(aMetrics, {}, [](const Metric& aMetric) { return std::tie(aMetric.name, aMetric.labels); });
   std::string page;
   std::string_view name;
   for (const auto& metric : aMetrics) {
--- a/src/net/upstream_client.cpp
+++ b/src/net/upstream_client.cpp
@@ -178,7 +178,9 @@
     }
   }
 
-  void get(const std::string& aTarget, std::function<void(const std::string&)> aUse, std::function<void()> aNext)
+  void get(const std::string& aTarget,
+           const std::function<void(const std::string&)>& aUse,
+           const std::function<void()>& aNext)
   {
     HttpCall call;
     call.target = aTarget;
--- a/tests/controller/moves_test.cpp
+++ b/tests/controller/moves_test.cpp
@@ -34,13 +34,12 @@
     auto& agent = fleet.join("a1", Role::kAgent);
     agent.poll.load.loaded = { { "m", "v1" } };
     fleet.run(Duration{ 600 });
-    CHECK_EQUAL(200, request("first", "v1", Duration{ 1 })->httpStatus);
+    CHECK_EQUAL(200, request("first", "v1", Duration{ 1 }).httpStatus);
   }
 
-  std::optional<controller::OperatorReply> request(
-    const std::string& aId, const VersionName& aVersion, Duration aUntilDeadline)
+  controller::OperatorReply request(const std::string& aId, const VersionName& aVersion, Duration aUntilDeadline)
   {
-    return fleet.operate(controller::RequestMove{ aId, "m", aVersion, fleet.wall + aUntilDeadline });
+    return fleet.answered(controller::RequestMove{ aId, "m", aVersion, fleet.wall + aUntilDeadline });
   }
 
   // Does what the orders say, as the agent's upstream would.
@@ -85,15 +84,15 @@
 TEST(MovesController, refusesADeadlineThatCannotBeMet)
 {
   const auto refused = request("second", "v2", Duration{ 2000 });
-  CHECK_EQUAL(422, refused->httpStatus);
-  CHECK(refused->body["error"] == "deadline_cannot_be_met");
-  CHECK_EQUAL(200, request("second", "v2", Duration{ 4000 })->httpStatus);
+  CHECK_EQUAL(422, refused.httpStatus);
+  CHECK(refused.body["error"] == "deadline_cannot_be_met");
+  CHECK_EQUAL(200, request("second", "v2", Duration{ 4000 }).httpStatus);
 }
 
 // Guards against a good version missing its deadline, and the old one being unloaded before the move is done.
 TEST(MovesController, goodVersionTakesOverInTime)
 {
-  CHECK_EQUAL(200, request("second", "v2", Duration{ 20'000 })->httpStatus);
+  CHECK_EQUAL(200, request("second", "v2", Duration{ 20'000 }).httpStatus);
   const auto deadline = move("second").deadlineUnixMs;
   traffic(Duration{ 1000 }, 0, 5, 5);
   CHECK(move("second").perMille < 100);
@@ -134,7 +133,7 @@
   traffic(Duration{ 3000 }, 0, 5, 5);
   CHECK_EQUAL(1U, fleet.state().moves.shares.at("m").size());
   CHECK(fleet.state().moves.shares.at("m").front().version == "v1");
-  CHECK_EQUAL(200, request("third", "v2", Duration{ 20'000 })->httpStatus);
+  CHECK_EQUAL(200, request("third", "v2", Duration{ 20'000 }).httpStatus);
 }
 
 // Guards against a slow version keeping its traffic.
--- a/tests/controller/operators_test.cpp
+++ b/tests/controller/operators_test.cpp
@@ -42,13 +42,13 @@
   auto& agent = fleet.join("a1", Role::kAgent);
   agent.silent = true;
   fleet.setBudget("gold", 10);
-  auto view = fleet.operate(controller::ShowInstances{})->body;
+  auto view = fleet.answered(controller::ShowInstances{}).body;
   CHECK_FALSE(view["in_force_everywhere"].get<bool>());
   CHECK_EQUAL(2U, view["instances"].size());
   agent.silent = false;
   // Two polls: the first brings the list, the second reports it.
   fleet.run(Duration{ 1100 });
-  view = fleet.operate(controller::ShowInstances{})->body;
+  view = fleet.answered(controller::ShowInstances{}).body;
   CHECK(view["in_force_everywhere"].get<bool>());
 }
 
@@ -63,12 +63,12 @@
   fleet.run(Duration{ 20 });
   const auto grant = fleet.last<GrantReply>(address).grant.grant;
   fleet.send(address, ChargeBatch{ 1, grant, { { "q1", 40 } } });
-  const auto view = fleet.operate(controller::ShowPlan{ "gold" })->body;
+  const auto view = fleet.answered(controller::ShowPlan{ "gold" }).body;
   CHECK_EQUAL(600, view["granted"].get<Tokens>());
   CHECK_EQUAL(40, view["charged_open"].get<Tokens>());
   CHECK_EQUAL(400, view["available"].get<Tokens>());
   CHECK(view["grants"][0]["instance"] == "r1");
-  CHECK_EQUAL(404, fleet.operate(controller::ShowPlan{ "none" })->httpStatus);
+  CHECK_EQUAL(404, fleet.answered(controller::ShowPlan{ "none" }).httpStatus);
 }
 
 // Guards against a request being explained without those who know of it.
--- a/tests/fleet/fleet_test.cpp
+++ b/tests/fleet/fleet_test.cpp
@@ -313,7 +313,7 @@
   }
   const auto shown = fleet.operateAtLeader(controller::ShowLists{});
   CHECK(shown.has_value());
-  CHECK_EQUAL(1000 + kChanges, shown->body["uses"][0]["budget_tokens"].get<int>());
+  CHECK_EQUAL(1000 + kChanges, shown.value_or(controller::OperatorReply{}).body["uses"][0]["budget_tokens"].get<int>());
 }
 
 // Guards against two operators who edit the same revision both being told that they succeeded.
@@ -322,7 +322,7 @@
   Fleet fleet(seeded(11));
   setUp(fleet, { { "gold", 1000 } });
   const auto shown = fleet.operateAtLeader(controller::ShowLists{});
-  const Revision expected{ shown->body["uses_revision"].get<std::uint64_t>() };
+  const Revision expected{ shown.value_or(controller::OperatorReply{}).body["uses_revision"].get<std::uint64_t>() };
   const auto leader = fleet.leaderName();
   const controller::ApplyUses mine{ "mine", expected, useEntries({ { "gold", 2000 } }), testRoutes() };
   const controller::ApplyUses yours{ "yours", expected, useEntries({ { "gold", 3000 } }), testRoutes() };
@@ -352,5 +352,5 @@
   fleet.advance(Duration{ 5000 });
   const auto shown = fleet.operateAtLeader(controller::ShowLists{}, Duration{ 20'000 });
   CHECK(shown.has_value());
-  CHECK_EQUAL(3000, shown->body["uses"][0]["budget_tokens"].get<int>());
+  CHECK_EQUAL(3000, shown.value_or(controller::OperatorReply{}).body["uses"][0]["budget_tokens"].get<int>());
 }
--- a/tests/net/net_support.h
+++ b/tests/net/net_support.h
@@ -138,7 +138,7 @@
   std::string readAll()
   {
     std::string text;
-    std::string part(64 * 1024, '\0');
+    std::string part(std::size_t{ 64 } * 1024, '\0');
     for (;;) {
       const auto got = ::recv(mSocket.native_handle(), part.data(), part.size(), 0);
       if (got <= 0) {
--- a/tests/net/peer_network_test.cpp
+++ b/tests/net/peer_network_test.cpp
@@ -70,7 +70,7 @@
     });
   }
 
-  void send(Envelope aEnvelope)
+  void send(const Envelope& aEnvelope)
   {
     network->post([this, aEnvelope] { network->send(aEnvelope); });
   }
--- a/tests/net/upstream_client_test.cpp
+++ b/tests/net/upstream_client_test.cpp
@@ -86,7 +86,7 @@
   ExchangeFailure awaitFailure()
   {
     CHECK(seen.wait([](const Seen& aSeen) { return aSeen.failure.has_value(); }));
-    return *seen.copy().failure;
+    return seen.copy().failure.value_or(ExchangeFailure{});
   }
 };
 
@@ -241,7 +241,7 @@
   CHECK(answer(R"({"events":[{"sequence":41,"stored":true,"prefix_hash":3}]})")
           .starts_with("GET /engine/cache_events?after=0 "));
   CHECK(seen.wait([](const Seen& aSeen) { return aSeen.load.has_value() && aSeen.cache.size() == 1; }));
-  CHECK_EQUAL(2, seen.copy().load->running);
+  CHECK_EQUAL(2, seen.copy().load.value_or(agent::LoadReport{}).running);
   answer("not json");
   CHECK(answer(R"({"events":[]})").starts_with("GET /engine/cache_events?after=41 "));
 }
--- a/tests/support/controller_harness.h
+++ b/tests/support/controller_harness.h
@@ -100,6 +100,14 @@
     return answerTo(id);
   }
 
+  /// Runs an operator's request at the leader. @return its answer; throws when none came within the time of operate()
+  controller::OperatorReply answered(const controller::Operation& aOperation)
+  {
+    const auto id = start(leader(), aOperation);
+    run(Duration{ 1500 });
+    return answerTo(id);
+  }
+
   controller::OperatorId start(const InstanceId& aController, const controller::Operation& aOperation)
   {
     const auto id = controller::OperatorId{ ++mOperators };
