--- a/include/rhubarbarch/gateway/options.h
+++ b/include/rhubarbarch/gateway/options.h
@@ -50,8 +50,8 @@
   // Shutdown
   Duration shortestLeave{ 2500 }; ///< a balancer that asks once a second takes a gateway out after two misses
   Duration lastCall{ 5000 };      ///< requests that come later are refused at once, as not run
-  Duration lastStream{ 2900 };    ///< the same for streams, which last for seconds; callers expect 3 s, less a round trip
-  Duration longestLeave{ 7000 };  ///< then what is in progress is cut
+  Duration lastStream{ 2900 }; ///< the same for streams, which last for seconds; callers expect 3 s, less a round trip
+  Duration longestLeave{ 7000 }; ///< then what is in progress is cut
 };
 
 } // namespace rhubarbarch::gateway
