Log what a caller who left pays

Cause: the line `caller_gone` named only the request, its time and its events, although docs/OPERATIONS.md says that the last line of a request names its plan and cost. The books of a plan could not be checked against the logs while callers leave. The line is now written like that of the other ends.

The new test failed before: the line had no plan.

--- a/src/gateway/finish.cpp
+++ b/src/gateway/finish.cpp
@@ -37,6 +37,7 @@
   return aStatus == kTimedOut ? kUnavailable : aStatus;
 }
 
+/// @param aStatus of the answer; zero: the caller has left
 void
 logEnd(State& aState, const Request& aRequest, const char* aEvent, std::int32_t aStatus, const char* aError)
 {
@@ -146,6 +147,16 @@
   erase(aState, caller);
 }
 
+void
+endForCallerGone(State& aState, Request& aRequest)
+{
+  const auto caller = aRequest.call.caller;
+  logEnd(aState, aRequest, "caller_gone", 0, "");
+  ++aState.totals.callersGone;
+  dropAttempt(aState, aRequest, true);
+  erase(aState, caller);
+}
+
 void
 erase(State& aState, CallerId aCaller)
 {
--- a/src/gateway/requests.cpp
+++ b/src/gateway/requests.cpp
@@ -258,15 +258,7 @@
   if (found == aState.requests.end()) {
     return;
   }
-  ++aState.totals.callersGone;
-  log(aState,
-      Severity::kInfo,
-      "caller_gone",
-      { { "request", found->second.call.requestId },
-        { "after_ms", (aState.now - found->second.arrivedAt).count() },
-        { "events", found->second.stream.events() } });
-  dropAttempt(aState, found->second, true);
-  erase(aState, aCaller);
+  endForCallerGone(aState, found->second);
   countWaiting(aState);
 }
 
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -197,6 +197,9 @@
 /// The stream is whole.
 void
 endStream(State& aState, Request& aRequest);
+/// The caller has left. It pays for what it has received.
+void
+endForCallerGone(State& aState, Request& aRequest);
 /// Charges what the request used and forgets it.
 void
 erase(State& aState, CallerId aCaller);
--- a/tests/gateway/requests_test.cpp
+++ b/tests/gateway/requests_test.cpp
@@ -186,6 +186,24 @@
   CHECK(fleet.takeOne<CancelCall>().exchange == call.exchange);
 }
 
+// Guards against the tokens that callers who left have paid being missing from the logs: the books of a plan cannot be
+// checked then.
+TEST(GatewayRequests, logsWhatACallerWhoLeftPays)
+{
+  fleet.issued = 1000;
+  fleet.answer();
+  const auto caller = fleet.call("/review/1", 100, 50);
+  const auto call = fleet.takeOne<StartCall>();
+  fleet.head(call.exchange, 200, true);
+  fleet.handle(UpstreamData{ call.exchange, Fixture::event(1) });
+  fleet.takeAll();
+  fleet.handle(CallerGone{ caller });
+  const auto line = fleet.takeOne<Log>().line;
+  CHECK_EQUAL(std::string("caller_gone"), line.event);
+  CHECK_EQUAL(std::string("gold"), line.fields.at("plan").get<std::string>());
+  CHECK(line.fields.at("cost").get<Tokens>() > 100);
+}
+
 // Guards against retries beyond the fleet's share multiplying the load of a service that fails.
 TEST(GatewayRequests, keepsToItsShareOfRetries)
 {
