--- a/src/gateway/finish.cpp
+++ b/src/gateway/finish.cpp
@@ -16,9 +16,7 @@
 constexpr std::int32_t kUnavailable = 503;
 
 /// Tokens that the request cost. A caller pays for its prompt once it has received some of the output, and for the
-/// output that was passed on; one that received nothing pays nothing, whatever an upstream read in vain. One that left
-/// pays for its output only, as the platform counts; with the prompt, 42% of a hot plan's requests were refused
-/// falsely.
+/// output that was passed on; one that received nothing pays nothing, whatever an upstream read in vain.
 Tokens
 cost(const Request& aRequest)
 {
@@ -26,8 +24,7 @@
     return 0;
   }
   const auto output = aRequest.stream.events() * std::max<Tokens>(aRequest.service->engine.eventTokens, 1);
-  const auto prompt = aRequest.callerLeft ? 0 : aRequest.call.promptTokens;
-  return prompt + std::min(output, aRequest.call.maxOutputTokens);
+  return aRequest.call.promptTokens + std::min(output, aRequest.call.maxOutputTokens);
 }
 
 /// A status that promises that the request did not run is only said when that is proved.
@@ -154,7 +151,6 @@
 endForCallerGone(State& aState, Request& aRequest)
 {
   const auto caller = aRequest.call.caller;
-  aRequest.callerLeft = true;
   logEnd(aState, aRequest, "caller_gone", 0, "");
   ++aState.totals.callersGone;
   dropAttempt(aState, aRequest, true);
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -54,7 +54,6 @@
   int sends = 0;      ///< attempts of which something left this process
   int mayHaveRun = 0; ///< attempts that are not proved not to have run
   bool headSent = false;
-  bool callerLeft = false; ///< before the answer was whole
   EventStream stream;
   std::string body;              ///< of an answer that is passed on as a whole
   std::uint64_t undelivered = 0; ///< bytes of the answer that the caller has not taken
