Read gateways by name in place of a captured binding

Cause: the linter takes a structured binding that a lambda captures for an uninitialized value (src/controller/gateways.cpp, found by a run over the changed files). The loop does the same as before; the 42 controller tests pass and the file is clean.

--- a/src/controller/gateways.cpp
+++ b/src/controller/gateways.cpp
@@ -251,9 +251,11 @@
 void
 serveWaiting(Context& aContext, const state::ReportAllowances& aReport)
 {
-  for (const auto& [session, gateway] : aContext.memory.gateways) {
+  for (const auto& item : aContext.memory.gateways) {
+    const auto session = item.first;
+    const auto& poll = item.second.poll;
     const bool waits = std::ranges::any_of(
-      aReport.plans, [&](const state::AllowanceReport& aPlan) { return waitsFor(gateway.poll, aPlan.plan); });
+      aReport.plans, [&poll](const state::AllowanceReport& aPlan) { return waitsFor(poll, aPlan.plan); });
     if (session != aReport.session && waits && known(aContext, session, aContext.options.gateways.demandKept)) {
       proposeChanges(aContext, session);
     }
