Define the events that all roles share once

Cause: router, agent and controller each had their own Send, Log, PeerUp and further types of the same content, and the replies of followers were checked in two places. No behaviour changes.

--- a/include/rhubarbarch/agent/events.h
+++ b/include/rhubarbarch/agent/events.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "rhubarbarch/base/log_line.h"
 #include "rhubarbarch/base/time.h"
 #include "rhubarbarch/wire/message.h"
+#include "rhubarbarch/wire/role_events.h"
 
 #include <cstdint>
 #include <string>
@@ -11,34 +11,22 @@
 
 namespace rhubarbarch::agent {
 
+using roles::Log;
+using roles::PeerDown;
+using roles::PeerMessage;
+using roles::PeerUp;
+using roles::Send;
+using roles::Shutdown;
+using roles::Stopped;
+
 /// Number of one HTTP exchange with the upstream, chosen by the state machine.
 enum class ExchangeId : std::uint64_t
 {
 };
 
-struct PeerMessage
-{
-  Address from;
-  Message message;
-};
-
-struct PeerUp
-{
-  Address peer;
-};
-
-struct PeerDown
-{
-  Address peer;
-};
-
 struct Tick
 {};
 
-/// Begin a graceful shutdown: leave, finish all runs, deliver their ends and charges.
-struct Shutdown
-{};
-
 /// The upstream's answer has begun.
 struct UpstreamHead
 {
@@ -104,12 +92,6 @@
                            LoadReport,
                            CacheEvent>;
 
-struct Send
-{
-  Address to;
-  Message message;
-};
-
 /// Start an HTTP exchange with the upstream.
 struct UpstreamStart
 {
@@ -148,14 +130,6 @@
   bool tellUpstream = true;
 };
 
-struct Log
-{
-  LogLine line;
-};
-
-struct Stopped
-{};
-
 using Action = std::variant<Send, UpstreamStart, UpstreamPause, UpstreamContinue, UpstreamCancel, Log, Stopped>;
 using Actions = std::vector<Action>;
 
--- a/include/rhubarbarch/controller/events.h
+++ b/include/rhubarbarch/controller/events.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "rhubarbarch/base/log_line.h"
 #include "rhubarbarch/base/time.h"
 #include "rhubarbarch/consensus/storage.h"
 #include "rhubarbarch/wire/message.h"
+#include "rhubarbarch/wire/role_events.h"
 
 #include <nlohmann/json.hpp>
 
@@ -14,35 +14,24 @@
 
 namespace rhubarbarch::controller {
 
+using roles::Log;
+using roles::PeerDown;
+using roles::PeerMessage;
+using roles::PeerUp;
+using roles::Send;
+using roles::Shutdown;
+using roles::Stopped;
+
 /// Number of an operator's request within this process, chosen by the HTTP server.
 enum class OperatorId : std::uint64_t
 {
 };
 
-struct PeerMessage
-{
-  Address from;
-  Message message;
-};
-
-struct PeerUp
-{
-  Address peer;
-};
-
-struct PeerDown
-{
-  Address peer;
-};
-
 struct Tick
 {
   WallTime wall; ///< calendar time, for deadlines of moves
 };
 
-struct Shutdown
-{};
-
 /// Replace the plans list if its revision is `expected`.
 struct ApplyPlans
 {
@@ -140,12 +129,6 @@
 using Event =
   std::variant<PeerMessage, PeerUp, PeerDown, Tick, Shutdown, OperatorRequest, PlatformList, UpstreamsRead, Contacts>;
 
-struct Send
-{
-  Address to;
-  Message message;
-};
-
 /// Answer an operator. `body` is a JSON object; errors hold `error` (snake_case code) and `detail`.
 struct OperatorReply
 {
@@ -155,14 +138,6 @@
   std::string document; ///< sent in place of `body` when not empty
 };
 
-struct Log
-{
-  LogLine line;
-};
-
-struct Stopped
-{};
-
 /// Write these records to the data folder and sync them before any Send or OperatorReply that follows, in this batch or
 /// a later one.
 struct Persist
--- a/include/rhubarbarch/net/log_writer.h
+++ b/include/rhubarbarch/net/log_writer.h
@@ -32,7 +32,7 @@
   LogWriter& operator=(const LogWriter&) = delete;
 
   /// Queues a line; callable from any thread, never blocks.
-  void write(LogLine aLine);
+  void write(const LogLine& aLine);
   /// Process figures; callable from any thread.
   Metrics metrics() const;
 
--- a/include/rhubarbarch/router/events.h
+++ b/include/rhubarbarch/router/events.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "rhubarbarch/base/http_field.h"
-#include "rhubarbarch/base/log_line.h"
 #include "rhubarbarch/base/time.h"
 #include "rhubarbarch/wire/message.h"
+#include "rhubarbarch/wire/role_events.h"
 
 #include <cstdint>
 #include <string>
@@ -13,6 +13,14 @@
 
 namespace rhubarbarch::router {
 
+using roles::Log;
+using roles::PeerDown;
+using roles::PeerMessage;
+using roles::PeerUp;
+using roles::Send;
+using roles::Shutdown;
+using roles::Stopped;
+
 /// Number of a caller's request within this process, chosen by the HTTP server.
 enum class CallerId : std::uint64_t
 {
@@ -45,42 +53,12 @@
   CallerId caller{};
 };
 
-/// A message from a peer or from another role of this process.
-struct PeerMessage
-{
-  Address from;
-  Message message;
-};
-
-/// A peer connection was opened, or replaced by a new one. Messages in flight on the old one may be lost.
-struct PeerUp
-{
-  Address peer;
-};
-
-/// A peer connection was closed or went silent.
-struct PeerDown
-{
-  Address peer;
-};
-
 /// Time passes; sent every kTickPeriod.
 struct Tick
 {};
 
-/// Begin a graceful shutdown: accept nothing new, finish all runs, settle, return grants.
-struct Shutdown
-{};
-
 using Event = std::variant<CallerRequest, CallerDrained, CallerGone, PeerMessage, PeerUp, PeerDown, Tick, Shutdown>;
 
-/// Send a message to a peer or another role of this process.
-struct Send
-{
-  Address to;
-  Message message;
-};
-
 /// Connect to a peer and keep the connection; an empty endpoint closes it.
 struct Connect
 {
@@ -120,16 +98,6 @@
   CallerId caller{};
 };
 
-/// Write a log line.
-struct Log
-{
-  LogLine line;
-};
-
-/// Graceful shutdown is complete.
-struct Stopped
-{};
-
 using Action = std::variant<Send, Connect, ReplyHead, ReplyBody, ReplyEnd, ReplyAbort, Log, Stopped>;
 using Actions = std::vector<Action>;
 
--- a/src/consensus/core.h
+++ b/src/consensus/core.h
@@ -225,6 +225,11 @@
 void
 handleAppendRequest(Core& aCore, const InstanceId& aFrom, const AppendRequest& aRequest, Step& aStep);
 
+/// The member that a reply to this leader comes from, noted as heard. A reply of a later term ends the leadership.
+/// @return null for a reply that means nothing to this replica now
+Peer*
+answeringPeer(Core& aCore, ReplicaId aTo, ReplicaId aFrom, Term aTerm, Step& aStep);
+
 void
 handleAppendReply(Core& aCore, const AppendReply& aReply, Step& aStep);
 
--- a/src/consensus/replication.cpp
+++ b/src/consensus/replication.cpp
@@ -192,22 +192,32 @@
   aStep.out.messages.push_back({ aFrom, reply });
 }
 
-void
-handleAppendReply(Core& aCore, const AppendReply& aReply, Step& aStep)
+Peer*
+answeringPeer(Core& aCore, ReplicaId aTo, ReplicaId aFrom, Term aTerm, Step& aStep)
 {
-  if (aReply.to != aCore.id) {
-    return;
+  if (aTo != aCore.id) {
+    return nullptr;
   }
-  if (aReply.term > aCore.hard.term) {
-    becomeFollower(aCore, aReply.term, aStep);
-    return;
+  if (aTerm > aCore.hard.term) {
+    becomeFollower(aCore, aTerm, aStep);
+    return nullptr;
+  }
+  const auto found = aCore.peers.find(aFrom);
+  if (aCore.role != ReplicaRole::kLeader || aTerm != aCore.hard.term || found == aCore.peers.end()) {
+    return nullptr;
   }
-  const auto found = aCore.peers.find(aReply.from);
-  if (aCore.role != ReplicaRole::kLeader || aReply.term != aCore.hard.term || found == aCore.peers.end()) {
+  found->second.heardAt = aStep.now;
+  return &found->second;
+}
+
+void
+handleAppendReply(Core& aCore, const AppendReply& aReply, Step& aStep)
+{
+  auto* answering = answeringPeer(aCore, aReply.to, aReply.from, aReply.term, aStep);
+  if (answering == nullptr) {
     return;
   }
-  auto& peer = found->second;
-  peer.heardAt = aStep.now;
+  auto& peer = *answering;
   peer.confirmedRound = std::max(peer.confirmedRound, aReply.round);
   const auto member = *std::ranges::find(currentMembers(aCore.log), aReply.from, &Member::replica);
   if (!aReply.success) {
--- a/src/consensus/snapshot.cpp
+++ b/src/consensus/snapshot.cpp
@@ -101,19 +101,11 @@
 void
 handleSnapshotReply(Core& aCore, const SnapshotReply& aReply, Step& aStep)
 {
-  if (aReply.to != aCore.id) {
+  auto* answering = answeringPeer(aCore, aReply.to, aReply.from, aReply.term, aStep);
+  if (answering == nullptr) {
     return;
   }
-  if (aReply.term > aCore.hard.term) {
-    becomeFollower(aCore, aReply.term, aStep);
-    return;
-  }
-  const auto found = aCore.peers.find(aReply.from);
-  if (aCore.role != ReplicaRole::kLeader || aReply.term != aCore.hard.term || found == aCore.peers.end()) {
-    return;
-  }
-  auto& peer = found->second;
-  peer.heardAt = aStep.now;
+  auto& peer = *answering;
   if (!peer.transfer || peer.transfer->snapshot->lastIndex != aReply.lastIndex) {
     return;
   }
--- a/src/daemon/agent_part.cpp
+++ b/src/daemon/agent_part.cpp
@@ -30,7 +30,9 @@
         "agent",
         makeRole(),
         [] { return agent::Event(agent::Tick{}); },
-        [this](agent::Actions&& aActions) { return execute(std::move(aActions)); })
+        [this](agent::Actions&& aActions) {
+          executeEach(std::move(aActions), [this](auto&& aAction) { run(std::forward<decltype(aAction)>(aAction)); });
+        })
   {
     mProcess.dispatcher.agent = &mLoop.inbox();
   }
@@ -81,7 +83,7 @@
   {
     net::UpstreamEvents events;
     events.event = [this](agent::Event&& aEvent) { mLoop.inbox().push(kFromUpstream, std::move(aEvent)); };
-    events.log = [this](LogLine&& aLine) { mProcess.log.write(std::move(aLine)); };
+    events.log = [this](const LogLine& aLine) { mProcess.log.write(aLine); };
     events.congested = [this] { return mLoop.inbox().congested(kFromUpstream); };
     return events;
   }
@@ -94,20 +96,12 @@
     });
   }
 
-  bool execute(agent::Actions&& aActions)
-  {
-    for (auto& action : aActions) {
-      std::visit([this](auto&& aAction) { run(std::forward<decltype(aAction)>(aAction)); }, std::move(action));
-    }
-    return true;
-  }
-
   void run(agent::Send&& aSend)
   {
     mProcess.dispatcher.send(Role::kAgent, std::move(aSend.to), std::move(aSend.message));
   }
 
-  void run(agent::Log&& aLog) { mProcess.log.write(std::move(aLog.line)); }
+  void run(const agent::Log& aLog) { mProcess.log.write(aLog.line); }
   void run(const agent::Stopped& /*unused*/) { mProcess.stopped(Role::kAgent); }
   void run(agent::UpstreamStart&& aStart) { mCommands.push(kFromAgent, std::move(aStart)); }
   void run(const agent::UpstreamPause& aPause) { mCommands.push(kFromAgent, aPause); }
--- a/src/daemon/controller_part.cpp
+++ b/src/daemon/controller_part.cpp
@@ -64,7 +64,7 @@
     , mReply(std::move(aReply))
     , mFirst(aRole->start(now()))
     , mLoop("controller", std::move(aRole), tick, [this](controller::Actions&& aActions) {
-      return execute(std::move(aActions));
+      execute(std::move(aActions));
     })
   {
     mProcess.dispatcher.controller = &mLoop.inbox();
@@ -77,10 +77,10 @@
   }
 
   // Writes and syncs all records of the batch once, before anything of the batch is sent.
-  bool execute(controller::Actions&& aActions)
+  void execute(controller::Actions&& aActions)
   {
     if (!mStore && !reopen()) {
-      return true; // nothing that this role says may be heard: it knows what no disk holds
+      return; // nothing that this role says may be heard: it knows what no disk holds
     }
     std::vector<consensus::StorageRecord> records;
     for (auto& action : aActions) {
@@ -94,12 +94,9 @@
       mProcess.log.write({ Severity::kError, "data_folder_write_failed", { { "detail", detail } } });
       mStore.reset();
       mReopenAt = now() + kReopenPeriod;
-      return true;
+      return;
     }
-    for (auto& action : aActions) {
-      std::visit([this](auto&& aAction) { run(std::forward<decltype(aAction)>(aAction)); }, std::move(action));
-    }
-    return true;
+    executeEach(std::move(aActions), [this](auto&& aAction) { run(std::forward<decltype(aAction)>(aAction)); });
   }
 
   /// Starts the role anew from what the disk holds, as a restart of the process would. A disk that is full or refuses
@@ -140,7 +137,7 @@
       kFromController, ConnectPeer{ { std::move(aConnect.controller), Role::kController }, std::move(endpoint) });
   }
   void run(const controller::ReadUpstreams& /*unused*/) { mProcess.readUpstreams(); }
-  void run(controller::Log&& aLog) { mProcess.log.write(std::move(aLog.line)); }
+  void run(const controller::Log& aLog) { mProcess.log.write(aLog.line); }
   void run(const controller::Stopped& /*unused*/) { mProcess.stopped(Role::kController); }
 
   Process& mProcess;
--- a/src/daemon/gateway_part.cpp
+++ b/src/daemon/gateway_part.cpp
@@ -1,3 +1,4 @@
+#include "execute.h"
 #include "parts.h"
 #include "role_options.h"
 
@@ -80,7 +81,7 @@
         mThread.context,
         *list,
         [this](std::vector<UpstreamEntry>&& aList) { handle(gateway::UpstreamsRead{ std::move(aList) }); },
-        [this](LogLine&& aLine) { mProcess.log.write(std::move(aLine)); });
+        [this](const LogLine& aLine) { mProcess.log.write(aLine); });
     }
   }
 
@@ -143,7 +144,7 @@
     events.request = [this](router::CallerRequest&& aRequest) { handle(platform::decodeCall(std::move(aRequest))); };
     events.drained = [this](const router::CallerDrained& aDrained) { handle(aDrained); };
     events.gone = [this](const router::CallerGone& aGone) { handle(aGone); };
-    events.log = [this](LogLine&& aLine) { mProcess.log.write(std::move(aLine)); };
+    events.log = [this](const LogLine& aLine) { mProcess.log.write(aLine); };
     events.congested = [] { return false; };
     return events;
   }
@@ -160,7 +161,7 @@
     };
     events.drained = [](const router::CallerDrained&) {};
     events.gone = [](const router::CallerGone&) {};
-    events.log = [this](LogLine&& aLine) { mProcess.log.write(std::move(aLine)); };
+    events.log = [this](const LogLine& aLine) { mProcess.log.write(aLine); };
     events.congested = [] { return false; };
     return events;
   }
@@ -211,9 +212,8 @@
     while (!mPending.empty()) {
       const auto event = std::move(mPending.front());
       mPending.pop_front();
-      for (auto& action : mRole.handle(event, now())) {
-        std::visit([this](auto&& aTyped) { run(std::forward<decltype(aTyped)>(aTyped)); }, std::move(action));
-      }
+      executeEach(mRole.handle(event, now()),
+                  [this](auto&& aAction) { run(std::forward<decltype(aAction)>(aAction)); });
     }
     mHandling = false;
   }
@@ -309,7 +309,7 @@
     mProcess.dispatcher.peers->push(kFromRouter, ConnectPeer{ std::move(aConnect.peer), std::move(aConnect.endpoint) });
   }
 
-  void run(gateway::Log&& aLog) { mProcess.log.write(std::move(aLog.line)); }
+  void run(const gateway::Log& aLog) { mProcess.log.write(aLog.line); }
 
   void run(const gateway::Stopped& /*unused*/)
   {
--- a/src/daemon/operator_part.cpp
+++ b/src/daemon/operator_part.cpp
@@ -38,7 +38,7 @@
     }
     return inbox != nullptr;
   };
-  events.log = [this](LogLine&& aLine) { mProcess.log.write(std::move(aLine)); };
+  events.log = [this](const LogLine& aLine) { mProcess.log.write(aLine); };
   events.ready = std::move(aReady);
   events.metrics = std::move(aMetrics);
   return events;
@@ -79,7 +79,7 @@
     mThread.context,
     options,
     [inbox](controller::PlatformList&& aList) { inbox->push(kFromOperators, std::move(aList)); },
-    [this](LogLine&& aLine) { mProcess.log.write(std::move(aLine)); });
+    [this](const LogLine& aLine) { mProcess.log.write(aLine); });
 }
 
 void
--- a/src/daemon/parts.h
+++ b/src/daemon/parts.h
@@ -24,7 +24,6 @@
   Boot boot{};
   std::string endpoint;                ///< `ip:port` of the peer listener in use
   std::function<void(Role)> stopped;   ///< the graceful shutdown of a role is complete; any thread
-  std::function<void()> failed;        ///< the process must end with an error; any thread
   std::function<void()> readUpstreams; ///< read the platform's list for the controller; any thread
 };
 
--- a/src/daemon/peer_part.cpp
+++ b/src/daemon/peer_part.cpp
@@ -51,7 +51,7 @@
   events.message = [this](Envelope&& aEnvelope) { mProcess.dispatcher.deliver(kFromPeers, std::move(aEnvelope)); };
   events.up = [this](const Address& aPeer) { mProcess.dispatcher.peerUp(kFromPeers, aPeer); };
   events.down = [this](const Address& aPeer) { mProcess.dispatcher.peerDown(kFromPeers, aPeer); };
-  events.log = [this](LogLine&& aLine) { mProcess.log.write(std::move(aLine)); };
+  events.log = [this](const LogLine& aLine) { mProcess.log.write(aLine); };
   events.congested = [this] { return mProcess.dispatcher.congested(kFromPeers); };
   return events;
 }
--- a/src/daemon/role_loop.h
+++ b/src/daemon/role_loop.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "execute.h"
 #include "lanes.h"
 #include "loop_figures.h"
 #include "rhubarbarch/base/time.h"
@@ -31,11 +32,11 @@
   /// @param aName name in metrics
   /// @param aRole the state machine; used on the thread of the loop only
   /// @param aTick makes the tick event
-  /// @param aExecute executes a batch of actions, which may be empty; false stops the loop
+  /// @param aExecute executes a batch of actions, which may be empty
   RoleLoop(std::string aName,
            std::unique_ptr<RoleClass> aRole,
            std::function<Event()> aTick,
-           std::function<bool(Actions&&)> aExecute)
+           std::function<void(Actions&&)> aExecute)
     : mName(std::move(aName))
     , mRole(std::move(aRole))
     , mTick(std::move(aTick))
@@ -109,9 +110,6 @@
 
   void step(Actions aBatch)
   {
-    if (mFailed) {
-      return;
-    }
     const auto started = std::chrono::steady_clock::now();
     // Taken first and handled afterwards, since handling may add events to the same inbox.
     std::vector<Event> events;
@@ -123,9 +121,7 @@
       auto actions = mRole->handle(event, now());
       std::move(actions.begin(), actions.end(), std::back_inserter(aBatch));
     }
-    if (!mExecute(std::move(aBatch))) {
-      mFailed = true;
-    }
+    mExecute(std::move(aBatch));
     const auto time = std::chrono::steady_clock::now() - started;
     mFigures.add(events.size(), std::chrono::duration_cast<std::chrono::microseconds>(time));
     publish();
@@ -147,14 +143,13 @@
   std::string mName;
   std::unique_ptr<RoleClass> mRole;
   std::function<Event()> mTick;
-  std::function<bool(Actions&&)> mExecute;
+  std::function<void(Actions&&)> mExecute;
   boost::asio::io_context mContext{ 1 };
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type> mWork;
   boost::asio::steady_timer mTimer;
   net::Inbox<Event> mInbox;
   LoopFigures mFigures;
   bool mTickDue = false;
-  bool mFailed = false;
   TimePoint mNextPublish;
   std::atomic<bool> mReady{ false };
   mutable std::mutex mMutex;
--- a/src/daemon/router_part.cpp
+++ b/src/daemon/router_part.cpp
@@ -29,7 +29,9 @@
         "router",
         makeRole(),
         [] { return router::Event(router::Tick{}); },
-        [this](router::Actions&& aActions) { return execute(std::move(aActions)); })
+        [this](router::Actions&& aActions) {
+          executeEach(std::move(aActions), [this](auto&& aAction) { run(std::forward<decltype(aAction)>(aAction)); });
+        })
   {
     mProcess.dispatcher.router = &mLoop.inbox();
   }
@@ -78,7 +80,7 @@
     events.request = [this](router::CallerRequest&& aRequest) { push(std::move(aRequest)); };
     events.drained = [this](const router::CallerDrained& aDrained) { push(aDrained); };
     events.gone = [this](const router::CallerGone& aGone) { push(aGone); };
-    events.log = [this](LogLine&& aLine) { mProcess.log.write(std::move(aLine)); };
+    events.log = [this](const LogLine& aLine) { mProcess.log.write(aLine); };
     events.congested = [this] { return mLoop.inbox().congested(kFromCallers); };
     return events;
   }
@@ -93,14 +95,6 @@
     });
   }
 
-  bool execute(router::Actions&& aActions)
-  {
-    for (auto& action : aActions) {
-      std::visit([this](auto&& aAction) { run(std::forward<decltype(aAction)>(aAction)); }, std::move(action));
-    }
-    return true;
-  }
-
   void run(router::Send&& aSend)
   {
     mProcess.dispatcher.send(Role::kRouter, std::move(aSend.to), std::move(aSend.message));
@@ -111,7 +105,7 @@
     mProcess.dispatcher.peers->push(kFromRouter, ConnectPeer{ std::move(aConnect.peer), std::move(aConnect.endpoint) });
   }
 
-  void run(router::Log&& aLog) { mProcess.log.write(std::move(aLog.line)); }
+  void run(const router::Log& aLog) { mProcess.log.write(aLog.line); }
 
   void run(const router::Stopped& /*unused*/)
   {
--- a/src/net/log_writer.cpp
+++ b/src/net/log_writer.cpp
@@ -197,7 +197,7 @@
 LogWriter::~LogWriter() = default;
 
 void
-LogWriter::write(LogLine aLine)
+LogWriter::write(const LogLine& aLine)
 {
   auto text = formatLogLine(aLine, mState->instance, unixMicroseconds());
   auto line = std::make_unique<State::Queued>(State::Queued{ aLine.severity, std::move(text) });
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -155,7 +155,7 @@
   void shutDownRouter(const InstanceId& aRouter)
   {
     if (alive(aRouter)) {
-      feed(node(aRouter), router::Shutdown{});
+      feedRole(node(aRouter), roles::Shutdown{});
     }
   }
 
@@ -399,15 +399,10 @@
 
   void notify(FleetNode& aNode, const Address& aPeer, bool aUp)
   {
-    const auto event = [&]<typename Up, typename Down>(Up aUpEvent, Down aDownEvent) {
-      aUp ? feed(aNode, aUpEvent) : feed(aNode, aDownEvent);
-    };
-    if (aNode.controller) {
-      event(controller::PeerUp{ aPeer }, controller::PeerDown{ aPeer });
-    } else if (aNode.router) {
-      event(router::PeerUp{ aPeer }, router::PeerDown{ aPeer });
+    if (aUp) {
+      feedRole(aNode, roles::PeerUp{ aPeer });
     } else {
-      event(agent::PeerUp{ aPeer }, agent::PeerDown{ aPeer });
+      feedRole(aNode, roles::PeerDown{ aPeer });
     }
   }
 
@@ -420,12 +415,8 @@
     auto& target = found->second;
     if (target.paused) {
       target.inbox.push_back(aEnvelope);
-    } else if (target.controller) {
-      feed(target, controller::PeerMessage{ aEnvelope.from, aEnvelope.message });
-    } else if (target.router) {
-      feed(target, router::PeerMessage{ aEnvelope.from, aEnvelope.message });
     } else {
-      feed(target, agent::PeerMessage{ aEnvelope.from, aEnvelope.message });
+      feedRole(target, roles::PeerMessage{ aEnvelope.from, aEnvelope.message });
     }
   }
 
@@ -447,6 +438,19 @@
   void feed(FleetNode& aNode, const router::Event& aEvent) { execute(aNode, timed(aNode, *aNode.router, aEvent)); }
   void feed(FleetNode& aNode, const agent::Event& aEvent) { execute(aNode, timed(aNode, *aNode.agent, aEvent)); }
 
+  /// Feeds an event that all roles know to the one that the node runs.
+  template<typename RoleEvent>
+  void feedRole(FleetNode& aNode, const RoleEvent& aEvent)
+  {
+    if (aNode.controller) {
+      feed(aNode, controller::Event(aEvent));
+    } else if (aNode.router) {
+      feed(aNode, router::Event(aEvent));
+    } else {
+      feed(aNode, agent::Event(aEvent));
+    }
+  }
+
   template<typename RoleActions>
   void execute(FleetNode& aNode, const RoleActions& aActions)
   {
@@ -473,9 +477,7 @@
     mQueue.emplace(std::pair{ last, ++mSequence }, std::move(envelope));
   }
 
-  void perform(FleetNode& aNode, const controller::Send& aSend) { send(aNode, aSend.to, aSend.message); }
-  void perform(FleetNode& aNode, const router::Send& aSend) { send(aNode, aSend.to, aSend.message); }
-  void perform(FleetNode& aNode, const agent::Send& aSend) { send(aNode, aSend.to, aSend.message); }
+  void perform(FleetNode& aNode, const roles::Send& aSend) { send(aNode, aSend.to, aSend.message); }
 
   void perform(FleetNode& aNode, const controller::Persist& aPersist)
   {
@@ -510,9 +512,7 @@
   void perform(FleetNode& /*aNode*/, const router::ReplyEnd& aEnd) { callers[aEnd.caller].ended = true; }
   void perform(FleetNode& /*aNode*/, const router::ReplyAbort& aAbort) { callers[aAbort.caller].aborted = true; }
   void perform(FleetNode& /*aNode*/, const router::Connect& /*aConnect*/) {}
-  void perform(FleetNode& aNode, const router::Stopped& /*aStopped*/) { kill(aNode.instance); }
-  void perform(FleetNode& aNode, const agent::Stopped& /*aStopped*/) { kill(aNode.instance); }
-  void perform(FleetNode& aNode, const controller::Stopped& /*aStopped*/) { kill(aNode.instance); }
+  void perform(FleetNode& aNode, const roles::Stopped& /*aStopped*/) { kill(aNode.instance); }
 
   void perform(FleetNode& aNode, const agent::UpstreamStart& aStart)
   {
@@ -527,9 +527,7 @@
   void perform(FleetNode& aNode, const agent::UpstreamContinue& aItem) { aNode.upstream->pause(aItem.exchange, false); }
   void perform(FleetNode& aNode, const agent::UpstreamCancel& aCancel) { aNode.upstream->cancel(aCancel.exchange); }
 
-  void perform(FleetNode& aNode, const controller::Log& aLog) { note(aNode, aLog.line); }
-  void perform(FleetNode& aNode, const router::Log& aLog) { note(aNode, aLog.line); }
-  void perform(FleetNode& aNode, const agent::Log& aLog) { note(aNode, aLog.line); }
+  void perform(FleetNode& aNode, const roles::Log& aLog) { note(aNode, aLog.line); }
 
   void note(const FleetNode& aNode, LogLine aLine)
   {
