Bound the leader's work for gateways by time, not by their questions

Cause: on the large site the leader stopped answering once requests waited for tokens. Each waiting request sent a poll of all plans every 20 ms, whether or not the last one was answered; each poll proposed a log entry of its own; each answer added up all plans times all sessions. A late leader made more requests wait, so the overload fed itself.

Now: running sums over all sessions (fleet_sums), one batch of reports in the log at a time and at most one in 10 ms, answers that name only what is news to the gateway, whole documents sent once within 300 ms, recalls that name one plan. Gateways send short polls for what waits, none while one is unanswered. While requests wait elsewhere, no session gets tokens in advance.

--- a/include/rhubarbarch/controller/options.h
+++ b/include/rhubarbarch/controller/options.h
@@ -54,11 +54,14 @@
 /// Settings of the gateways controller.
 struct GatewayOptions
 {
-  bool readUpstreams = false;  ///< the leader reads the platform's list for the gateways
-  Duration readPeriod{ 400 };  ///< a fraction of the lag that platforms state for their list, about 800 ms
-  Duration lost{ 3000 };       ///< a gateway silent for this long no longer counts among those that share limits
-  Duration recallPause{ 40 };  ///< between two recalls of one gateway: some round trips
-  Duration demandKept{ 1000 }; ///< a report of waiting requests older than some polls says nothing
+  bool readUpstreams = false;    ///< the leader reads the platform's list for the gateways
+  Duration readPeriod{ 400 };    ///< a fraction of the lag that platforms state for their list, about 800 ms
+  Duration lost{ 3000 };         ///< a gateway silent for this long no longer counts among those that share limits
+  Duration recallPause{ 40 };    ///< between two recalls of one gateway: some round trips
+  Duration demandKept{ 1000 };   ///< a report of waiting requests older than some polls says nothing
+  Duration reportPause{ 10 };    ///< between two batches of reports: each costs a sync on every disk
+  Duration documentPause{ 300 }; ///< before a whole document is sent again: a poll period and a slow link
+  Tokens nearEndDivisor = 16;    ///< what remains of a budget is told unasked below this part of it
 };
 
 /// Settings of the controller role.
--- a/include/rhubarbarch/gateway/options.h
+++ b/include/rhubarbarch/gateway/options.h
@@ -20,7 +20,7 @@
 
   // Control link
   Duration pollPeriod{ 200 };        ///< a tenth of the 2 s in which a change must be in force
-  Duration shortestPoll{ 20 };       ///< between two polls when requests wait for tokens
+  Duration shortestPoll{ 20 };       ///< between two polls when requests wait for tokens and the last one is answered
   Duration controllerSilence{ 500 }; ///< a controller that does not answer for some polls is replaced by the next one
   std::uint16_t relayPort = 0;       ///< where instances beside engines relay polls; zero: none do
   std::size_t relays = 2;            ///< connections kept to relays; one may stand behind the same cut
--- a/include/rhubarbarch/state/allowances.h
+++ b/include/rhubarbarch/state/allowances.h
@@ -68,6 +68,12 @@
   std::vector<AllowanceReport> plans;
 };
 
+/// Command: take the reports of several sessions, in order.
+struct ReportBatch
+{
+  std::vector<ReportAllowances> reports;
+};
+
 /// Outcome of OpenGateway.
 struct GatewayOutcome
 {
@@ -107,5 +113,6 @@
 RHUBARBARCH_DECLARE_FIELDS(OpenGateway)
 RHUBARBARCH_DECLARE_FIELDS(AllowanceReport)
 RHUBARBARCH_DECLARE_FIELDS(ReportAllowances)
+RHUBARBARCH_DECLARE_FIELDS(ReportBatch)
 
 } // namespace rhubarbarch::state
--- a/include/rhubarbarch/state/replicated_state.h
+++ b/include/rhubarbarch/state/replicated_state.h
@@ -50,7 +50,8 @@
                              RaiseFence,
                              StoreRouting,
                              OpenGateway,
-                             ReportAllowances>;
+                             ReportAllowances,
+                             ReportBatch>;
 
 /// What a command changed, for the answer to whoever sent it.
 using Outcome = std::variant<std::monostate,
--- a/include/rhubarbarch/wire/gateway_messages.h
+++ b/include/rhubarbarch/wire/gateway_messages.h
@@ -19,6 +19,7 @@
   Tokens reserved = 0; ///< by requests in progress
   Tokens target = 0;   ///< tokens that the gateway wants to hold, `spent` and `reserved` included
   Tokens waiting = 0;  ///< part of `target` that requests wait for now
+  Tokens issued = 0;   ///< to this session, as the gateway knows; an answer names only what is news to it
 };
 
 /// A gateway's requests at one upstream.
@@ -40,6 +41,7 @@
   std::int64_t routingVersion = 0;
   std::uint64_t upstreamsRevision = 0;
   bool leaving = false; ///< shuts down; gives all free tokens back
+  bool partial = false; ///< only plans that changed and cannot wait; nothing on upstreams
   std::vector<PlanUse> plans;
   std::vector<UpstreamUse> upstreams;
 };
@@ -68,8 +70,9 @@
   std::uint64_t upstreamsRevision = 0;
   std::int64_t upstreamsAgeMs = -1; ///< since the platform's list was read; negative: never
   std::vector<UpstreamEntry> upstreams;
-  std::vector<UpstreamUse> othersUse; ///< sums over all other gateways
-  std::vector<PlanAllowance> plans;
+  bool hasOthersUse = true;
+  std::vector<UpstreamUse> othersUse;   ///< sums over all other gateways
+  std::vector<PlanAllowance> plans;     ///< those with news for this gateway
   std::vector<std::string> controllers; ///< endpoints of the members
   std::uint32_t gateways = 1;           ///< heard lately
 };
--- a/src/controller/controller_role.cpp
+++ b/src/controller/controller_role.cpp
@@ -295,7 +295,10 @@
   log(step, "leadership_gained", { { "term", toNumber(leadTerm) } });
   propose(
     state::RaiseFence{ unixMs },
-    [this](Context& /*aContext*/, const state::Outcome& /*aOutcome*/) { caughtUp = true; },
+    [this](Context& aContext, const state::Outcome& /*aOutcome*/) {
+      caughtUp = true;
+      beginGateways(aContext);
+    },
     std::nullopt);
 }
 
--- a/src/controller/controllers.h
+++ b/src/controller/controllers.h
@@ -72,6 +72,9 @@
 handleGateways(Context& aContext, const Address& aFrom, const Message& aMessage);
 void
 tickGateways(Context& aContext);
+/// Prepares the sums that answers are read from, once a new leader's state is complete.
+void
+beginGateways(Context& aContext);
 /// Answers a gateway from the state as it is; the caller has confirmed that it is current.
 void
 answerGateway(Context& aContext, const Address& aTo, const GatewayPoll& aPoll);
--- a/src/controller/gateways.cpp
+++ b/src/controller/gateways.cpp
@@ -24,15 +24,60 @@
   return found == aSession.allowances.end() ? state::Allowance{} : found->second;
 }
 
+Tokens
+closedUse(const Context& aContext, const PlanId& aPlan)
+{
+  const auto& closed = aContext.state.allowances.closed;
+  const auto found = closed.find(aPlan);
+  return found == closed.end() ? 0 : found->second.spent + found->second.inDoubt;
+}
+
 Tokens
 unissued(const Context& aContext, const PlanId& aPlan)
 {
-  return state::unissued(aContext.state.allowances, aPlan, state::prepaid(aContext.state.routing.table, aPlan));
+  const auto prepaid = state::prepaid(aContext.state.routing.table, aPlan);
+  return prepaid - closedUse(aContext, aPlan) - planSum(aContext.memory.sums, aPlan).held;
+}
+
+/// What a session has of a plan by the log, and by its polls where this leader has heard it.
+PlanSum
+shareOf(const Context& aContext, SessionId aSession, const state::GatewaySession& aState, const PlanId& aPlan)
+{
+  const auto allowance = allowanceOf(aState, aPlan);
+  PlanSum share{ state::held(allowance), allowance.spent };
+  const auto gateway = aContext.memory.gateways.find(aSession);
+  if (gateway != aContext.memory.gateways.end()) {
+    const auto use = gateway->second.uses.find(aPlan);
+    if (use != gateway->second.uses.end()) {
+      share.used = std::max(share.used, use->second.spent + use->second.reserved);
+    }
+  }
+  return share;
+}
+
+void
+countSession(Context& aContext, SessionId aSession, const state::GatewaySession& aState, const PlanId& aPlan)
+{
+  countPlan(aContext.memory.sums, aSession, aPlan, shareOf(aContext, aSession, aState, aPlan));
+}
+
+/// Adds up all sessions anew; needed when sessions began or ended.
+void
+countAll(Context& aContext)
+{
+  auto& sums = aContext.memory.sums;
+  sums.plans.clear();
+  sums.plansBySession.clear();
+  for (const auto& [id, session] : aContext.state.allowances.sessions) {
+    for (const auto& [plan, allowance] : session.allowances) {
+      countSession(aContext, id, session, plan);
+    }
+  }
 }
 
 /// What ended sessions used, by plan: `[spent, in doubt]`.
 nlohmann::json
-closedUse(const Context& aContext)
+closedUses(const Context& aContext)
 {
   auto closed = nlohmann::json::object();
   for (const auto& [plan, use] : aContext.state.allowances.closed) {
@@ -54,9 +99,10 @@
             [aFrom, poll = aPoll](Context& aDone, const state::Outcome& aOutcome) {
               const auto session = std::get<state::GatewayOutcome>(aOutcome).session;
               aDone.memory.gatewaysOpening.erase(poll.instance);
+              countAll(aDone);
               log(aDone,
                   "gateway_opened",
-                  { { "gateway", poll.instance }, { "session", toNumber(session) }, { "closed", closedUse(aDone) } });
+                  { { "gateway", poll.instance }, { "session", toNumber(session) }, { "closed", closedUses(aDone) } });
               auto answered = poll;
               answered.session = session;
               answerGateway(aDone, aFrom, answered);
@@ -73,116 +119,121 @@
   return found != aContext.memory.gateways.end() && aContext.now - found->second.lastSeen < aTime;
 }
 
-/// What changes in the replicated budgets because of a poll: tokens given back, and tokens to issue.
+/// Whether a gateway other than `aSession` has requests that wait for tokens of a plan.
+bool
+othersWait(const Context& aContext, SessionId aSession, const PlanId& aPlan)
+{
+  const auto found = aContext.memory.waitingFor.find(aPlan);
+  return found != aContext.memory.waitingFor.end() && std::ranges::any_of(found->second, [&](const auto& aItem) {
+           return aItem.first != aSession && aContext.now - aItem.second < aContext.options.gateways.demandKept;
+         });
+}
+
+/// What changes in the replicated budgets because of a gateway's polls: tokens given back, and tokens to issue.
 state::ReportAllowances
-changes(const Context& aContext, const state::GatewaySession& aSession, const GatewayPoll& aPoll)
+changes(const Context& aContext, SessionId aSession, const GatewayMemory& aGateway)
 {
   state::ReportAllowances report;
-  report.session = aPoll.session;
-  for (const auto& use : aPoll.plans) {
-    const auto allowance = allowanceOf(aSession, use.plan);
+  report.session = aSession;
+  const auto found = aContext.state.allowances.sessions.find(aSession);
+  if (found == aContext.state.allowances.sessions.end()) {
+    return report;
+  }
+  for (const auto& [plan, use] : aGateway.uses) {
+    const auto allowance = allowanceOf(found->second, plan);
+    // While requests wait elsewhere nobody gets tokens for requests that may come.
+    const auto wanted = othersWait(aContext, aSession, plan) ? use.spent + use.reserved + use.waiting : use.target;
     const bool returns = use.returned > allowance.returned;
-    const bool wants = use.target > state::held(allowance) && unissued(aContext, use.plan) > 0;
+    const bool wants = wanted > state::held(allowance) && unissued(aContext, plan) > 0;
     if (returns || wants) {
-      report.plans.push_back({ use.plan, use.returned, use.spent, use.target });
+      report.plans.push_back({ plan, use.returned, use.spent, wanted });
     }
   }
   return report;
 }
 
-bool
-waitsFor(const GatewayPoll& aPoll, const PlanId& aPlan)
+/// Part of the budget that is neither spent nor reserved as far as this leader knows; what sessions hold unused counts
+/// as left, since it can be recalled.
+Tokens
+remaining(const Context& aContext, const PlanAccess& aPlan)
 {
-  return std::ranges::any_of(aPoll.plans, [&](const PlanUse& aUse) { return aUse.plan == aPlan && aUse.waiting > 0; });
+  return aPlan.prepaid - closedUse(aContext, aPlan.plan) - planSum(aContext.memory.sums, aPlan.plan).used;
 }
 
-/// Whether a gateway other than `aSession` has requests that wait for tokens of a plan.
-bool
-othersWait(const Context& aContext, SessionId aSession, const PlanId& aPlan)
+PlanAllowance
+planAllowance(const Context& aContext, SessionId aId, const state::GatewaySession& aSession, const PlanAccess& aPlan)
 {
-  return std::ranges::any_of(aContext.memory.gateways, [&](const auto& aItem) {
-    const auto& [session, gateway] = aItem;
-    return session != aSession && known(aContext, session, aContext.options.gateways.demandKept) &&
-           waitsFor(gateway.poll, aPlan);
-  });
+  const auto free = unissued(aContext, aPlan.plan);
+  const bool recall = free < 0 || (free == 0 && othersWait(aContext, aId, aPlan.plan));
+  return { aPlan.plan, allowanceOf(aSession, aPlan.plan).issued, remaining(aContext, aPlan), recall };
 }
 
-/// Spent and reserved by one session: what it reported to this leader, or what the log holds of one not heard yet.
-Tokens
-used(const Context& aContext, SessionId aSession, const state::GatewaySession& aState, const PlanId& aPlan)
+/// Whether a gateway has to hear of a plan now.
+bool
+isNews(const Context& aContext, const PlanAllowance& aAllowance, const PlanAccess& aPlan, const GatewayMemory* aGateway)
 {
-  const auto replicated = allowanceOf(aState, aPlan).spent;
-  const auto found = aContext.memory.gateways.find(aSession);
-  if (found == aContext.memory.gateways.end()) {
-    return replicated;
+  if (aAllowance.recall || aAllowance.remaining < aPlan.prepaid / aContext.options.gateways.nearEndDivisor) {
+    return true;
   }
-  const auto& plans = found->second.poll.plans;
-  const auto use = std::ranges::find(plans, aPlan, &PlanUse::plan);
-  return use == plans.end() ? replicated : std::max(replicated, use->spent + use->reserved);
-}
-
-/// Part of the budget that is neither spent nor reserved as far as this leader knows; what sessions hold unused counts
-/// as left, since it can be recalled.
-Tokens
-remaining(const Context& aContext, const PlanAccess& aPlan)
-{
-  const auto& allowances = aContext.state.allowances;
-  const auto closed = allowances.closed.find(aPlan.plan);
-  auto left = aPlan.prepaid;
-  left -= closed == allowances.closed.end() ? 0 : closed->second.spent + closed->second.inDoubt;
-  for (const auto& [id, session] : allowances.sessions) {
-    left -= used(aContext, id, session, aPlan.plan);
+  if (aGateway == nullptr) {
+    return aAllowance.issued > 0;
   }
-  return left;
+  const auto use = aGateway->uses.find(aPlan.plan);
+  return use == aGateway->uses.end() ? aAllowance.issued > 0
+                                     : use->second.issued != aAllowance.issued || use->second.waiting > 0;
 }
 
 std::vector<PlanAllowance>
 planAllowances(const Context& aContext, SessionId aId, const state::GatewaySession& aSession)
 {
+  const auto found = aContext.memory.gateways.find(aId);
+  const auto* gateway = found == aContext.memory.gateways.end() ? nullptr : &found->second;
   std::vector<PlanAllowance> plans;
   for (const auto& plan : aContext.state.routing.table.plans) {
     if (plan.prepaid < 0) {
       continue;
     }
-    const auto free = unissued(aContext, plan.plan);
-    const bool recall = free < 0 || (free == 0 && othersWait(aContext, aId, plan.plan));
-    plans.push_back({ plan.plan, allowanceOf(aSession, plan.plan).issued, remaining(aContext, plan), recall });
+    auto allowance = planAllowance(aContext, aId, aSession, plan);
+    if (isNews(aContext, allowance, plan, gateway)) {
+      plans.push_back(std::move(allowance));
+    }
   }
   return plans;
 }
 
-std::vector<UpstreamUse>
-othersUse(const Context& aContext, SessionId aSession)
+/// Notes that a document is sent. @return false when the same one was sent there a moment ago
+bool
+noteSent(const Context& aContext, SentDocument& aSent, std::uint64_t aRevision, const Address& aTo)
 {
-  std::map<std::string, UpstreamUse> sums;
-  for (const auto& [session, gateway] : aContext.memory.gateways) {
-    if (session == aSession || !known(aContext, session, aContext.options.gateways.lost)) {
-      continue;
-    }
-    for (const auto& use : gateway.poll.upstreams) {
-      auto& sum = sums[use.id];
-      sum.id = use.id;
-      sum.running += use.running;
-      sum.prefillTokens += use.prefillTokens;
-    }
+  const bool again =
+    aSent.revision == aRevision && aSent.to == aTo && aContext.now - aSent.at < aContext.options.gateways.documentPause;
+  if (!again) {
+    aSent = { aRevision, aTo, aContext.now };
   }
-  std::vector<UpstreamUse> uses;
-  std::ranges::transform(sums, std::back_inserter(uses), [](const auto& aItem) { return aItem.second; });
-  return uses;
+  return !again;
+}
+
+GatewayMemory*
+findGateway(Context& aContext, SessionId aSession)
+{
+  const auto found = aContext.memory.gateways.find(aSession);
+  return found == aContext.memory.gateways.end() ? nullptr : &found->second;
 }
 
 void
-addRouting(GatewayState& aAnswer, const RoutingTable& aTable, const GatewayPoll& aPoll)
+addRouting(GatewayState& aAnswer, Context& aContext, const GatewayPoll& aPoll, const Address& aTo)
 {
-  aAnswer.routingVersion = aTable.version;
-  if (aTable.version > aPoll.routingVersion) {
+  const auto& table = aContext.state.routing.table;
+  auto* gateway = findGateway(aContext, aPoll.session);
+  if (table.version > aPoll.routingVersion &&
+      (gateway == nullptr || noteSent(aContext, gateway->routing, static_cast<std::uint64_t>(table.version), aTo))) {
     aAnswer.hasRouting = true;
-    aAnswer.routing = aTable;
+    aAnswer.routing = table;
   }
 }
 
 void
-addUpstreams(GatewayState& aAnswer, const Context& aContext, const GatewayPoll& aPoll)
+addUpstreams(GatewayState& aAnswer, Context& aContext, const GatewayPoll& aPoll, const Address& aTo)
 {
   const auto& platform = aContext.platform;
   if (!platform.upstreamsReadAt) {
@@ -190,19 +241,36 @@
   }
   aAnswer.upstreamsAgeMs = (aContext.now - *platform.upstreamsReadAt).count();
   aAnswer.upstreamsRevision = platform.upstreamsRevision;
-  if (platform.upstreamsRevision != aPoll.upstreamsRevision) {
+  auto* gateway = findGateway(aContext, aPoll.session);
+  if (platform.upstreamsRevision != aPoll.upstreamsRevision &&
+      (gateway == nullptr || noteSent(aContext, gateway->upstreams, platform.upstreamsRevision, aTo))) {
     aAnswer.hasUpstreams = true;
     aAnswer.upstreams = platform.upstreams;
   }
 }
 
 void
-remember(Context& aContext, const Address& aFrom, const GatewayPoll& aPoll)
+remember(Context& aContext, const Address& aFrom, const GatewayPoll& aPoll, const state::GatewaySession& aSession)
 {
-  auto& gateway = aContext.memory.gateways[aPoll.session];
+  auto& memory = aContext.memory;
+  auto& gateway = memory.gateways[aPoll.session];
   gateway.from = aFrom;
   gateway.lastSeen = aContext.now;
   gateway.poll = aPoll;
+  gateway.poll.plans.clear();
+  gateway.poll.upstreams.clear();
+  for (const auto& use : aPoll.plans) {
+    gateway.uses[use.plan] = use;
+    countSession(aContext, aPoll.session, aSession, use.plan);
+    if (use.waiting > 0) {
+      memory.waitingFor[use.plan][aPoll.session] = aContext.now;
+    } else if (const auto found = memory.waitingFor.find(use.plan); found != memory.waitingFor.end()) {
+      found->second.erase(aPoll.session);
+    }
+  }
+  if (!aPoll.partial) {
+    countUpstreams(memory.sums, aPoll.session, aPoll.upstreams);
+  }
 }
 
 /// A poll that was overtaken by a later one, or repeated on the way, says nothing new.
@@ -213,92 +281,151 @@
   return found != aContext.memory.gateways.end() && aPoll.number <= found->second.poll.number;
 }
 
+/// An answer without what the poll's routing and upstreams call for.
+GatewayState
+shortAnswer(const Context& aContext, const GatewayPoll& aPoll)
+{
+  GatewayState answer;
+  answer.instance = aPoll.instance;
+  answer.boot = aPoll.boot;
+  answer.number = aPoll.number;
+  answer.session = aPoll.session;
+  answer.routingVersion = aContext.state.routing.table.version;
+  answer.hasOthersUse = false;
+  answer.gateways = static_cast<std::uint32_t>(std::ranges::count_if(aContext.memory.gateways, [&](const auto& aItem) {
+    return known(aContext, aItem.first, aContext.options.gateways.lost);
+  }));
+  return answer;
+}
+
 /// Tells gateways at once that others wait for tokens of a plan: their next polls would come too late for requests
 /// that wait for some hundred milliseconds.
 void
-recall(Context& aContext, SessionId aWaiting, const PlanId& aPlan)
+recall(Context& aContext, SessionId aWaiting, const PlanAccess& aPlan)
 {
+  const auto pause = aContext.options.gateways.recallPause;
+  if (!isDue(aContext, aContext.memory.recalledAt[aPlan.plan], pause / 2)) {
+    return;
+  }
   for (auto& [session, gateway] : aContext.memory.gateways) {
     const auto found = aContext.state.allowances.sessions.find(session);
-    if (session == aWaiting || found == aContext.state.allowances.sessions.end() ||
-        aContext.now - gateway.recalledAt < aContext.options.gateways.recallPause) {
+    if (session == aWaiting || found == aContext.state.allowances.sessions.end()) {
       continue;
     }
-    const auto idle = state::held(allowanceOf(found->second, aPlan)) - used(aContext, session, found->second, aPlan);
-    if (idle > 0) {
-      gateway.recalledAt = aContext.now;
-      answerGateway(aContext, gateway.from, gateway.poll);
+    const auto share = shareOf(aContext, session, found->second, aPlan.plan);
+    if (share.held > share.used && isDue(aContext, gateway.recalledAt[aPlan.plan], pause)) {
+      auto answer = shortAnswer(aContext, gateway.poll);
+      answer.plans.push_back(planAllowance(aContext, session, found->second, aPlan));
+      send(aContext, gateway.from, std::move(answer));
     }
   }
 }
 
 void
-recallForWaiting(Context& aContext, const GatewayPoll& aPoll)
+recallForWaiting(Context& aContext, SessionId aSession)
 {
-  for (const auto& use : aPoll.plans) {
-    if (use.waiting > 0 && unissued(aContext, use.plan) <= 0) {
-      recall(aContext, aPoll.session, use.plan);
+  const auto& gateway = aContext.memory.gateways.at(aSession);
+  for (const auto& plan : aContext.state.routing.table.plans) {
+    const auto use = gateway.uses.find(plan.plan);
+    if (use != gateway.uses.end() && use->second.waiting > 0 && unissued(aContext, plan.plan) <= 0) {
+      recall(aContext, aSession, plan);
     }
   }
 }
 
-/// Proposes what changes because of a gateway's last poll, if anything does.
-/// @return false when nothing changes
-bool
-proposeChanges(Context& aContext, SessionId aSession);
-
-/// Issues returned tokens to gateways whose requests wait for them, without waiting for their next polls.
+/// Puts sessions into the next batch that wait for a plan of which something was given back or issued anew.
 void
-serveWaiting(Context& aContext, const state::ReportAllowances& aReport)
-{
-  for (const auto& item : aContext.memory.gateways) {
-    const auto session = item.first;
-    const auto& poll = item.second.poll;
-    const bool waits = std::ranges::any_of(
-      aReport.plans, [&poll](const state::AllowanceReport& aPlan) { return waitsFor(poll, aPlan.plan); });
-    if (session != aReport.session && waits && known(aContext, session, aContext.options.gateways.demandKept)) {
-      proposeChanges(aContext, session);
+queueWaiting(Context& aContext, const state::ReportAllowances& aReport)
+{
+  auto& memory = aContext.memory;
+  for (const auto& plan : aReport.plans) {
+    const auto found = memory.waitingFor.find(plan.plan);
+    if (found == memory.waitingFor.end() || unissued(aContext, plan.plan) <= 0) {
+      continue;
+    }
+    for (const auto& [session, at] : found->second) {
+      if (aContext.now - at < aContext.options.gateways.demandKept) {
+        memory.reports.due.try_emplace(session, false);
+      }
     }
   }
 }
 
-/// Answers the last poll of a gateway whose report is applied; it may be a later one than that of the report.
+/// Proposes the reports that are due, unless a batch is under way or the last one has only just been proposed.
 void
-reportApplied(Context& aContext, const state::ReportAllowances& aReport)
+proposeReports(Context& aContext);
+
+/// Answers the last polls of the gateways whose reports are applied; they may be later ones than those reported.
+void
+reportsApplied(Context& aContext, const state::ReportBatch& aBatch)
 {
-  const auto found = aContext.memory.gateways.find(aReport.session);
-  if (found != aContext.memory.gateways.end()) {
-    auto& gateway = found->second;
-    gateway.reportProposed = false;
-    answerGateway(aContext, gateway.from, gateway.poll);
-    recallForWaiting(aContext, gateway.poll);
-    proposeChanges(aContext, aReport.session);
+  auto& memory = aContext.memory;
+  memory.reports.proposed = false;
+  const auto& sessions = aContext.state.allowances.sessions;
+  for (const auto& report : aBatch.reports) {
+    if (const auto found = sessions.find(report.session); found != sessions.end()) {
+      std::ranges::for_each(
+        report.plans, [&](const auto& aPlan) { countSession(aContext, report.session, found->second, aPlan.plan); });
+    }
+  }
+  for (const auto& report : aBatch.reports) {
+    const auto found = memory.gateways.find(report.session);
+    if (found != memory.gateways.end()) {
+      answerGateway(aContext, found->second.from, found->second.poll);
+      recallForWaiting(aContext, report.session);
+      memory.reports.due.try_emplace(report.session, false);
+    }
+    queueWaiting(aContext, report);
   }
-  serveWaiting(aContext, aReport);
+  proposeReports(aContext);
 }
 
-bool
-proposeChanges(Context& aContext, SessionId aSession)
+/// The reports that are due, beginning after the session that came first in the last batch: no session is always the
+/// last one to be given what is left of a plan.
+state::ReportBatch
+takeDue(Context& aContext)
 {
-  auto& gateway = aContext.memory.gateways.at(aSession);
-  const auto* session = findSession(aContext, gateway.poll);
-  if (session == nullptr) {
-    return false;
+  auto& queue = aContext.memory.reports;
+  const auto due = std::exchange(queue.due, {});
+  state::ReportBatch batch;
+  const auto take = [&](const auto& aItem) {
+    const auto& [session, waits] = aItem;
+    const auto* gateway = findGateway(aContext, session);
+    if (gateway == nullptr) {
+      return;
+    }
+    auto report = changes(aContext, session, *gateway);
+    if (!report.plans.empty()) {
+      batch.reports.push_back(std::move(report));
+    } else if (waits) {
+      aContext.memory.nextRead.gatewayPolls.push_back({ gateway->from, gateway->poll });
+    }
+  };
+  const auto first = due.upper_bound(queue.lastFirst);
+  std::for_each(first, due.end(), take);
+  std::for_each(due.begin(), first, take);
+  if (!batch.reports.empty()) {
+    queue.lastFirst = batch.reports.front().session;
   }
-  auto report = changes(aContext, *session, gateway.poll);
-  if (report.plans.empty()) {
-    return false;
+  return batch;
+}
+
+void
+proposeReports(Context& aContext)
+{
+  auto& queue = aContext.memory.reports;
+  if (queue.proposed || queue.due.empty() ||
+      !isDue(aContext, queue.proposedAt, aContext.options.gateways.reportPause)) {
+    return;
   }
-  // While commits are slow each poll would propose the same again: one report of a session at a time, and what
-  // changed meanwhile after it.
-  if (!gateway.reportProposed) {
-    const auto proposed = report;
-    gateway.reportProposed =
-      propose(aContext, std::move(report), [proposed](Context& aDone, const state::Outcome& /*aOutcome*/) {
-        reportApplied(aDone, proposed);
-      });
+  auto batch = takeDue(aContext);
+  if (batch.reports.empty()) {
+    return;
   }
-  return true;
+  const auto proposed = batch;
+  queue.proposed = propose(aContext, std::move(batch), [proposed](Context& aDone, const state::Outcome& /*aOutcome*/) {
+    reportsApplied(aDone, proposed);
+  });
 }
 
 } // namespace
@@ -306,23 +433,19 @@
 void
 answerGateway(Context& aContext, const Address& aTo, const GatewayPoll& aPoll)
 {
-  GatewayState answer;
-  answer.instance = aPoll.instance;
-  answer.boot = aPoll.boot;
-  answer.number = aPoll.number;
-  answer.session = aPoll.session;
+  auto answer = shortAnswer(aContext, aPoll);
   const auto* session = findSession(aContext, aPoll);
   answer.superseded = session == nullptr;
-  addRouting(answer, aContext.state.routing.table, aPoll);
-  addUpstreams(answer, aContext, aPoll);
+  addRouting(answer, aContext, aPoll, aTo);
+  addUpstreams(answer, aContext, aPoll, aTo);
   if (session != nullptr) {
     answer.plans = planAllowances(aContext, aPoll.session, *session);
   }
-  answer.othersUse = othersUse(aContext, aPoll.session);
-  answer.controllers = aContext.proposer.members();
-  answer.gateways = static_cast<std::uint32_t>(std::ranges::count_if(aContext.memory.gateways, [&](const auto& aItem) {
-    return known(aContext, aItem.first, aContext.options.gateways.lost);
-  }));
+  if (!aPoll.partial) {
+    answer.hasOthersUse = true;
+    answer.othersUse = othersUse(aContext.memory.sums, aPoll.session);
+    answer.controllers = aContext.proposer.members();
+  }
   send(aContext, aTo, std::move(answer));
 }
 
@@ -350,15 +473,20 @@
   if (overtaken(aContext, *poll)) {
     return true;
   }
-  if (findSession(aContext, *poll) == nullptr) {
+  const auto* session = findSession(aContext, *poll);
+  if (session == nullptr) {
     aContext.memory.nextRead.gatewayPolls.push_back({ aFrom, *poll });
     return true;
   }
-  remember(aContext, aFrom, *poll);
+  remember(aContext, aFrom, *poll, *session);
+  const auto& gateway = aContext.memory.gateways.at(poll->session);
   // A committed entry proves the leadership as a confirmed read does, and its answer can name what was issued.
-  if (!proposeChanges(aContext, poll->session)) {
-    aContext.memory.nextRead.gatewayPolls.push_back({ aFrom, *poll });
-    recallForWaiting(aContext, *poll);
+  if (!changes(aContext, poll->session, gateway).plans.empty()) {
+    aContext.memory.reports.due[poll->session] = true;
+    proposeReports(aContext);
+  } else {
+    aContext.memory.nextRead.gatewayPolls.push_back({ aFrom, gateway.poll });
+    recallForWaiting(aContext, poll->session);
   }
   return true;
 }
@@ -366,12 +494,32 @@
 void
 tickGateways(Context& aContext)
 {
-  const bool reads = aContext.options.gateways.readUpstreams && !aContext.memory.gateways.empty();
-  if (reads && isDue(aContext, aContext.memory.upstreamsAsked, aContext.options.gateways.readPeriod)) {
+  auto& memory = aContext.memory;
+  const bool reads = aContext.options.gateways.readUpstreams && !memory.gateways.empty();
+  if (reads && isDue(aContext, memory.upstreamsAsked, aContext.options.gateways.readPeriod)) {
     aContext.actions.emplace_back(ReadUpstreams{});
   }
-  std::erase_if(aContext.memory.gateways,
-                [&](const auto& aItem) { return !aContext.state.allowances.sessions.contains(aItem.first); });
+  proposeReports(aContext);
+  for (auto& [session, gateway] : memory.gateways) {
+    if (!known(aContext, session, aContext.options.gateways.lost) && memory.sums.upstreamsBySession.contains(session)) {
+      countUpstreams(memory.sums, session, {});
+      memory.sums.upstreamsBySession.erase(session);
+    }
+  }
+  std::erase_if(memory.gateways, [&](const auto& aItem) {
+    const bool ended = !aContext.state.allowances.sessions.contains(aItem.first);
+    if (ended) {
+      dropSession(memory.sums, aItem.first);
+      std::ranges::for_each(memory.waitingFor, [&](auto& aPlan) { aPlan.second.erase(aItem.first); });
+    }
+    return ended;
+  });
+}
+
+void
+beginGateways(Context& aContext)
+{
+  countAll(aContext);
 }
 
 } // namespace rhubarbarch::controller
--- a/src/controller/memory.h
+++ b/src/controller/memory.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "fleet_sums.h"
+
 #include "rhubarbarch/base/time.h"
 #include "rhubarbarch/controller/events.h"
 #include "rhubarbarch/wire/control_messages.h"
@@ -66,14 +68,35 @@
   TimePoint placed;
 };
 
+/// A whole document on its way to a gateway. Answers that leave before the gateway can have said that it holds it do
+/// not carry it again.
+struct SentDocument
+{
+  std::uint64_t revision = 0;
+  Address to;
+  TimePoint at;
+};
+
 /// What the leader knows of a gateway session from its last poll.
 struct GatewayMemory
 {
   Address from; ///< where its polls come from; a relay when it is cut off
   TimePoint lastSeen;
-  GatewayPoll poll; ///< the last one
-  TimePoint recalledAt;
-  bool reportProposed = false; ///< a report of it is proposed and not applied yet
+  GatewayPoll poll;                       ///< the last one, without its plans and upstreams
+  std::map<PlanId, PlanUse> uses;         ///< by the last full poll and the partial ones since
+  std::map<PlanId, TimePoint> recalledAt; ///< when tokens of a plan were last asked back
+  SentDocument routing;
+  SentDocument upstreams;
+};
+
+/// Reports of gateways that change the replicated budgets. They are proposed together, one batch at a time: while
+/// commits are slow the batches grow and not their number.
+struct ReportQueue
+{
+  std::map<SessionId, bool> due; ///< true: a poll of the session waits for its answer
+  bool proposed = false;         ///< a batch is proposed and not applied yet
+  TimePoint proposedAt;
+  SessionId lastFirst{}; ///< whose report came first in the last batch; the next batch begins after it
 };
 
 struct PendingGatewayPoll
@@ -153,6 +176,10 @@
   std::map<std::uint64_t, PendingExplain> explains;
   std::map<SessionId, GatewayMemory> gateways;
   std::set<InstanceId> gatewaysOpening; ///< a session is proposed for them
+  FleetSums sums;
+  ReportQueue reports;
+  std::map<PlanId, std::map<SessionId, TimePoint>> waitingFor; ///< sessions with requests that wait, when last told
+  std::map<PlanId, TimePoint> recalledAt;                      ///< when holders were last looked for
   TimePoint upstreamsAsked;
   TimePoint expired;
   TimePoint sessionsChecked;
--- a/src/gateway/control.cpp
+++ b/src/gateway/control.cpp
@@ -28,8 +28,14 @@
   link.pollAt = aState.now + aPause;
 }
 
+enum class PollKind : std::uint8_t
+{
+  kFull,
+  kUrgent ///< only what requests wait for
+};
+
 GatewayPoll
-makePoll(State& aState)
+makePoll(State& aState, PollKind aKind)
 {
   auto& link = aState.link;
   GatewayPoll poll;
@@ -41,23 +47,50 @@
   poll.routingVersion = aState.index ? aState.index->table.version : 0;
   poll.upstreamsRevision = aState.upstreams.revision;
   poll.leaving = aState.leavingSince.has_value();
-  poll.plans = reportUse(aState.budgets, aState.options.allowanceWindow, poll.leaving);
-  poll.upstreams = reportCalls(aState.upstreams);
+  poll.partial = aKind == PollKind::kUrgent;
+  if (poll.partial) {
+    poll.plans = reportUrgent(aState.budgets, aState.options.allowanceWindow, poll.leaving);
+  } else {
+    poll.plans = reportUse(aState.budgets, aState.options.allowanceWindow, poll.leaving);
+    poll.upstreams = reportCalls(aState.upstreams);
+  }
   return poll;
 }
 
 /// A poll through a relay has a number of its own: the leader may have got the direct one while its answers are lost.
 void
-sendPoll(State& aState)
+sendPoll(State& aState, PollKind aKind)
 {
   auto& link = aState.link;
-  aState.actions.emplace_back(Send{ { currentController(link), Role::kController }, makePoll(aState) });
+  auto poll = makePoll(aState, aKind);
   if (!link.relays.empty() && aState.now - link.directAt >= aState.options.relayAfter) {
     const auto& relay = link.relays[link.polls / 2 % link.relays.size()];
-    aState.actions.emplace_back(Send{ { relay, Role::kAgent }, makePoll(aState) });
+    auto relayed = poll;
+    relayed.number = ++link.polls;
+    aState.actions.emplace_back(Send{ { relay, Role::kAgent }, std::move(relayed) });
   }
+  aState.actions.emplace_back(Send{ { currentController(link), Role::kController }, std::move(poll) });
   link.polledAt = aState.now;
-  link.pollAt = aState.now + aState.options.pollPeriod;
+  link.urgent = false;
+  if (aKind == PollKind::kFull) {
+    link.pollAt = aState.now + aState.options.pollPeriod;
+  }
+}
+
+/// Sends a full poll when it is due, or an urgent one when the leader should hear something soon. While the leader
+/// owes an answer it is not asked urgently: what slows it must not bring it more work.
+void
+sendDue(State& aState)
+{
+  auto& link = aState.link;
+  if (aState.now >= link.pollAt) {
+    sendPoll(aState, PollKind::kFull);
+    return;
+  }
+  const bool answered = link.answered >= link.polls;
+  if (link.urgent && answered && aState.now - link.polledAt >= aState.options.shortestPoll) {
+    sendPoll(aState, PollKind::kUrgent);
+  }
 }
 
 void
@@ -202,7 +235,9 @@
       aState.upstreams.listedAt = std::max(aState.upstreams.listedAt, readAt);
     }
   }
-  applyOthers(aState.upstreams, aAnswer.othersUse);
+  if (aAnswer.hasOthersUse) {
+    applyOthers(aState.upstreams, aAnswer.othersUse);
+  }
   if (link.session == SessionId{} && !aAnswer.superseded && aAnswer.session != SessionId{}) {
     link.session = aAnswer.session;
     link.pollAt = aState.now;
@@ -259,18 +294,15 @@
   updateDemand(aState.budgets, aState.now);
   rotateOnSilence(aState);
   readListIfStale(aState);
-  if (aState.now >= aState.link.pollAt) {
-    sendPoll(aState);
-  }
+  sendDue(aState);
 }
 
 void
 pollSoon(State& aState)
 {
-  auto& link = aState.link;
-  link.pollAt = std::min(link.pollAt, std::max(aState.now, link.polledAt + aState.options.shortestPoll));
-  if (link.pollAt <= aState.now && !link.controllers.empty()) {
-    sendPoll(aState);
+  aState.link.urgent = true;
+  if (!aState.link.controllers.empty()) {
+    sendDue(aState);
   }
 }
 
--- a/src/gateway/plan_budgets.cpp
+++ b/src/gateway/plan_budgets.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cmath>
+#include <iterator>
 
 namespace rhubarbarch::gateway {
 
@@ -31,6 +32,21 @@
   aBudget.returned += std::max<Tokens>(freeTokens(aBudget) - aKept, 0);
 }
 
+/// Gives back what is held beyond the need, and reports the rest.
+PlanUse
+use(const PlanId& aPlan, PlanBudget& aBudget, Duration aWindow, bool aLeaving)
+{
+  // A gateway that leaves still serves the requests that it takes.
+  const auto window = aLeaving ? aBudget.waiting : std::max(windowTokens(aBudget, aWindow), aBudget.waiting);
+  if (freeTokens(aBudget) > window + window / kReturnDivisor) {
+    giveBack(aBudget, window);
+  }
+  aBudget.reportedReturned = aBudget.returned;
+  aBudget.reportedWaiting = aBudget.waiting;
+  const auto target = aBudget.spent + aBudget.reserved + window;
+  return { aPlan, aBudget.returned, aBudget.spent, aBudget.reserved, target, aBudget.waiting, aBudget.issued };
+}
+
 } // namespace
 
 void
@@ -88,16 +104,22 @@
 
 std::vector<PlanUse>
 reportUse(PlanBudgets& aBudgets, Duration aWindow, bool aLeaving)
+{
+  std::vector<PlanUse> uses;
+  std::ranges::transform(aBudgets.plans, std::back_inserter(uses), [&](auto& aItem) {
+    return use(aItem.first, aItem.second, aWindow, aLeaving);
+  });
+  return uses;
+}
+
+std::vector<PlanUse>
+reportUrgent(PlanBudgets& aBudgets, Duration aWindow, bool aLeaving)
 {
   std::vector<PlanUse> uses;
   for (auto& [plan, budget] : aBudgets.plans) {
-    // A gateway that leaves still serves the requests that it takes.
-    const auto window = aLeaving ? budget.waiting : std::max(windowTokens(budget, aWindow), budget.waiting);
-    if (freeTokens(budget) > window + window / kReturnDivisor) {
-      giveBack(budget, window);
+    if (budget.waiting > 0 || budget.reportedWaiting > 0 || budget.returned > budget.reportedReturned) {
+      uses.push_back(use(plan, budget, aWindow, aLeaving));
     }
-    const auto target = budget.spent + budget.reserved + window;
-    uses.push_back({ plan, budget.returned, budget.spent, budget.reserved, target, budget.waiting });
   }
   return uses;
 }
--- a/src/gateway/plan_budgets.h
+++ b/src/gateway/plan_budgets.h
@@ -19,9 +19,11 @@
   Tokens remaining = 0; ///< of the whole budget, as the leader last said
   bool remainingKnown = false;
   TimePoint remainingAt;
-  Tokens waiting = 0;         ///< asked for by requests that wait now
-  double demandPerSecond = 0; ///< recent rate of reservations asked for
-  Tokens demandNow = 0;       ///< asked for since the rate was last updated
+  Tokens waiting = 0;          ///< asked for by requests that wait now
+  Tokens reportedReturned = 0; ///< in the last poll
+  Tokens reportedWaiting = 0;  ///< likewise
+  double demandPerSecond = 0;  ///< recent rate of reservations asked for
+  Tokens demandNow = 0;        ///< asked for since the rate was last updated
 };
 
 /// The plans with a budget that callers have used here, or that the leader named.
@@ -66,6 +68,10 @@
 std::vector<PlanUse>
 reportUse(PlanBudgets& aBudgets, Duration aWindow, bool aLeaving);
 
+/// @return a report on the plans whose requests wait or no longer wait, or that gave something back, since the last one
+std::vector<PlanUse>
+reportUrgent(PlanBudgets& aBudgets, Duration aWindow, bool aLeaving);
+
 /// @return whether the whole fleet has too few tokens left for a request, as far as the leader knew lately
 bool
 provedExhausted(const PlanBudget& aBudget, Tokens aTokens, TimePoint aNow) noexcept;
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -68,6 +68,7 @@
   TimePoint triedSince;                 ///< start of the silence of the current one
   TimePoint pollAt;
   TimePoint polledAt;
+  bool urgent = false; ///< requests wait for tokens, or some were given back, since the last poll
   std::uint64_t polls = 0;
   SessionId session{};
   std::optional<TimePoint> answeredAt;
--- a/src/state/allowances.cpp
+++ b/src/state/allowances.cpp
@@ -47,6 +47,7 @@
 RHUBARBARCH_DEFINE_FIELDS(OpenGateway, instance, boot)
 RHUBARBARCH_DEFINE_FIELDS(AllowanceReport, plan, returned, spent, hold)
 RHUBARBARCH_DEFINE_FIELDS(ReportAllowances, session, plans)
+RHUBARBARCH_DEFINE_FIELDS(ReportBatch, reports)
 
 SessionId
 findGateway(const Allowances& aState, const InstanceId& aInstance, Boot aBoot)
--- a/src/state/replicated_state.cpp
+++ b/src/state/replicated_state.cpp
@@ -14,10 +14,10 @@
 
 // In the order of the alternatives of Command. The names stand in stored logs.
 constexpr std::array<std::string_view, kCommandCount> kNames = {
-  "SetPlans",    "SetUses",      "OpenSession", "FenceRouter",     "ReportFence", "SetLeaving",
-  "MarkDrained", "RemoveAgent",  "MarkSettled", "IssueGrant",      "ReturnGrant", "ChargeGrant",
-  "SettleGrant", "TakeClaim",    "UpdateClaim", "ExpireClaims",    "AddMove",     "StepMove",
-  "RaiseFence",  "StoreRouting", "OpenGateway", "ReportAllowances"
+  "SetPlans",    "SetUses",      "OpenSession", "FenceRouter",      "ReportFence", "SetLeaving",
+  "MarkDrained", "RemoveAgent",  "MarkSettled", "IssueGrant",       "ReturnGrant", "ChargeGrant",
+  "SettleGrant", "TakeClaim",    "UpdateClaim", "ExpireClaims",     "AddMove",     "StepMove",
+  "RaiseFence",  "StoreRouting", "OpenGateway", "ReportAllowances", "ReportBatch"
 };
 
 using CommandDecoder = Command (*)(const nlohmann::json&);
@@ -106,6 +106,14 @@
   report(aState.allowances, aCommand, aState.routing.table);
 }
 
+void
+apply(ReplicatedState& aState, const ReportBatch& aCommand, LogIndex /*aIndex*/)
+{
+  for (const auto& each : aCommand.reports) {
+    report(aState.allowances, each, aState.routing.table);
+  }
+}
+
 } // namespace
 
 Outcome
--- a/src/wire/gateway_messages.cpp
+++ b/src/wire/gateway_messages.cpp
@@ -4,7 +4,7 @@
 
 namespace rhubarbarch {
 
-RHUBARBARCH_DEFINE_FIELDS(PlanUse, plan, returned, spent, reserved, target, waiting)
+RHUBARBARCH_DEFINE_FIELDS(PlanUse, plan, returned, spent, reserved, target, waiting, issued)
 RHUBARBARCH_DEFINE_FIELDS(UpstreamUse, id, running, prefillTokens)
 RHUBARBARCH_DEFINE_FIELDS(GatewayPoll,
                           instance,
@@ -15,6 +15,7 @@
                           routingVersion,
                           upstreamsRevision,
                           leaving,
+                          partial,
                           plans,
                           upstreams)
 RHUBARBARCH_DEFINE_FIELDS(PlanAllowance, plan, issued, remaining, recall)
@@ -31,6 +32,7 @@
                           upstreamsRevision,
                           upstreamsAgeMs,
                           upstreams,
+                          hasOthersUse,
                           othersUse,
                           plans,
                           controllers,
