--- a/include/rhubarbarch/relay/relay_role.h
+++ b/include/rhubarbarch/relay/relay_role.h
@@ -24,7 +24,13 @@
 using router::Stopped;
 using router::Tick;
 
-using Event = std::variant<PeerMessage, PeerUp, PeerDown, Tick, Shutdown>;
+/// The settings name other first contacts.
+struct Contacts
+{
+  std::vector<std::string> controllers; ///< endpoints
+};
+
+using Event = std::variant<PeerMessage, PeerUp, PeerDown, Tick, Shutdown, Contacts>;
 using Action = std::variant<Send, Connect, Log, Stopped>;
 using Actions = std::vector<Action>;
 
@@ -37,7 +43,8 @@
 };
 
 /// Passes polls of gateways on to the leader, and its answers back. A gateway that is cut off from the controllers,
-/// but not from all other instances, stays in contact through a relay. A deterministic state machine.
+/// but not from all other instances, stays in contact through a relay. So does a gateway, or a controller that seeks
+/// its group, whose settings name only a process without a disk. A deterministic state machine.
 ///
 /// Usage: `for (auto& action : role.handle(event, now)) { run(std::move(action)); }`.
 class RelayRole
@@ -67,6 +74,8 @@
   void on(const PeerDown& /*aEvent*/) {}
   void on(const Tick& aEvent);
   void on(const Shutdown& aEvent);
+  void on(const Contacts& aEvent);
+  void takeJoin(const InstanceId& aFrom, const JoinRequest& aRequest);
   void takePoll(const Address& aFrom, const GatewayPoll& aPoll);
   void takeState(const GatewayState& aState);
   void takeHint(const InstanceId& aFrom, const NotLeader& aHint);
--- a/src/daemon/control_part.cpp
+++ b/src/daemon/control_part.cpp
@@ -7,6 +7,8 @@
 
 #include <boost/asio/post.hpp>
 
+#include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace rhubarbarch::daemon {
@@ -42,6 +44,8 @@
                       [this] { mReplies.drain([this](const controller::OperatorReply& aReply) { answer(aReply); }); });
   })
 {
+  std::ranges::transform(
+    aProcess.settings.controllers, std::back_inserter(mContacts), &settings::ControllerPeer::instance);
   if (const auto& list = mProcess.settings.upstreamList) {
     mReader = std::make_unique<platform::InstanceListReader>(
       mThread.context,
@@ -49,7 +53,7 @@
       [this](std::vector<UpstreamEntry>&& aList) {
         mProcess.dispatcher.controller->push(kFromOperators, controller::UpstreamsRead{ std::move(aList) });
       },
-      [this](LogLine&& aLine) { mProcess.log.write(std::move(aLine)); });
+      [this](const LogLine& aLine) { mProcess.log.write(aLine); });
   }
 }
 
@@ -65,7 +69,7 @@
   events.request = [this](router::CallerRequest&& aRequest) { request(std::move(aRequest)); };
   events.drained = [](const router::CallerDrained&) {};
   events.gone = [this](const router::CallerGone& aGone) { mTargets.erase(aGone.caller); };
-  events.log = [this](LogLine&& aLine) { mProcess.log.write(std::move(aLine)); };
+  events.log = [this](const LogLine& aLine) { mProcess.log.write(aLine); };
   events.congested = [] { return false; };
   return events;
 }
@@ -117,17 +121,23 @@
 std::string
 ControlPart::nextContact(const std::string& aTarget)
 {
-  const auto& contacts = mProcess.settings.controllers;
   const auto& own = mProcess.settings.controllerSettings.control;
-  for (std::size_t i = 0; i < contacts.size(); ++i) {
-    const auto& address = contacts[mNextContact++ % contacts.size()].endpoint.address;
-    if (address != own.address) {
-      return "http://" + settings::toString({ address, own.port }) + aTarget;
+  for (std::size_t i = 0; i < mContacts.size(); ++i) {
+    const auto contact = settings::parseEndpoint(mContacts[mNextContact++ % mContacts.size()]);
+    if (contact && contact.value().address != own.address) {
+      return "http://" + settings::toString({ contact.value().address, own.port }) + aTarget;
     }
   }
   return {};
 }
 
+void
+ControlPart::contacts(std::vector<std::string> aControllers)
+{
+  boost::asio::post(mThread.context,
+                    [this, controllers = std::move(aControllers)]() mutable { mContacts = std::move(controllers); });
+}
+
 void
 ControlPart::reply(controller::OperatorReply&& aReply)
 {
--- a/src/daemon/control_part.h
+++ b/src/daemon/control_part.h
@@ -5,6 +5,8 @@
 
 #include <map>
 #include <memory>
+#include <string>
+#include <vector>
 
 namespace rhubarbarch::platform {
 class InstanceListReader;
@@ -29,6 +31,8 @@
   void reply(controller::OperatorReply&& aReply);
   /// Reads the platform's list for the controller; any thread.
   void readUpstreams();
+  /// Replaces the controllers that operators are sent to by a process without one; callable from any thread.
+  void contacts(std::vector<std::string> aControllers);
 
 private:
   net::HttpServerEvents events();
@@ -42,6 +46,7 @@
   net::Inbox<controller::OperatorReply> mReplies;
   std::map<router::CallerId, std::string> mTargets; ///< of the requests in progress
   std::unique_ptr<platform::InstanceListReader> mReader;
+  std::vector<std::string> mContacts; ///< endpoints at which controllers listen for peers
   std::size_t mNextContact = 0;
 };
 
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -50,7 +50,6 @@
                drawBoot(),
                {},
                [this](Role aRole) { boost::asio::post(main, [this, aRole] { stopped(aRole); }); },
-               [this] { boost::asio::post(main, [this] { finish(kFailed); }); },
                [this] {
                  if (control) {
                    control->readUpstreams();
@@ -195,6 +194,9 @@
     contacts = names;
     log.write({ Severity::kInfo, "contacts_changed", { { "controllers", names } } });
     std::ranges::for_each(parts, [&names](const auto& aPart) { aPart->contacts(names); });
+    if (control) {
+      control->contacts(names);
+    }
   }
 
   // The parts stop one after the other, since each needs the later ones for its last exchanges.
--- a/src/daemon/relay_part.cpp
+++ b/src/daemon/relay_part.cpp
@@ -22,13 +22,19 @@
         "relay",
         std::make_unique<relay::RelayRole>(relayOptions(aProcess.settings)),
         [] { return relay::Event(relay::Tick{}); },
-        [this](relay::Actions&& aActions) { return execute(std::move(aActions)); })
+        [this](relay::Actions&& aActions) {
+          executeEach(std::move(aActions), [this](auto&& aAction) { run(std::forward<decltype(aAction)>(aAction)); });
+        })
   {
     mProcess.dispatcher.relay = &mLoop.inbox();
   }
 
   Role role() const noexcept override { return Role::kAgent; }
   void start() override { mLoop.start({}); }
+  void contacts(const std::vector<std::string>& aControllers) override
+  {
+    mLoop.inbox().push(kFromMain, relay::Contacts{ aControllers });
+  }
   void shutdown() override { mLoop.inbox().push(kFromMain, relay::Shutdown{}); }
   bool flushed() const override { return true; }
   void stop() override { mLoop.stop(); }
@@ -36,14 +42,6 @@
   Metrics metrics() const override { return mLoop.metrics(); }
 
 private:
-  bool execute(relay::Actions&& aActions)
-  {
-    for (auto& action : aActions) {
-      std::visit([this](auto&& aAction) { run(std::forward<decltype(aAction)>(aAction)); }, std::move(action));
-    }
-    return true;
-  }
-
   void run(relay::Send&& aSend)
   {
     mProcess.dispatcher.send(Role::kAgent, std::move(aSend.to), std::move(aSend.message));
@@ -54,7 +52,7 @@
     mProcess.dispatcher.peers->push(kFromAgent, ConnectPeer{ std::move(aConnect.peer), std::move(aConnect.endpoint) });
   }
 
-  void run(relay::Log&& aLog) { mProcess.log.write(std::move(aLog.line)); }
+  void run(const relay::Log& aLog) { mProcess.log.write(aLog.line); }
   void run(const relay::Stopped& /*unused*/) { mProcess.stopped(Role::kAgent); }
 
   Process& mProcess;
--- a/src/daemon/role_dispatcher.cpp
+++ b/src/daemon/role_dispatcher.cpp
@@ -30,6 +30,9 @@
   } else if (aEnvelope.to.role == Role::kController && controller != nullptr) {
     controller->pushUnlessFull(aLane,
                                controller::PeerMessage{ std::move(aEnvelope.from), std::move(aEnvelope.message) });
+  } else if (aEnvelope.to.role == Role::kController && relay != nullptr) {
+    // The settings of others may name a process without a disk as a controller; it passes on what it gets as one.
+    relay->pushUnlessFull(aLane, router::PeerMessage{ std::move(aEnvelope.from), std::move(aEnvelope.message) });
   }
 }
 
--- a/src/daemon/role_options.cpp
+++ b/src/daemon/role_options.cpp
@@ -91,6 +91,7 @@
 {
   relay::RelayOptions options;
   options.controllers = controllerNames(aSettings);
+  std::erase(options.controllers, aSettings.instance);
   return options;
 }
 
--- a/src/relay/relay_role.cpp
+++ b/src/relay/relay_role.cpp
@@ -23,7 +23,12 @@
 RelayRole::on(const PeerMessage& aEvent)
 {
   if (const auto* poll = std::get_if<GatewayPoll>(&aEvent.message)) {
-    takePoll(aEvent.from, *poll);
+    // Relays pass nothing on to each other: two that take each other for controllers would do so for ever.
+    if (aEvent.from.role == Role::kRouter) {
+      takePoll(aEvent.from, *poll);
+    }
+  } else if (const auto* join = std::get_if<JoinRequest>(&aEvent.message)) {
+    takeJoin(aEvent.from.instance, *join);
   } else if (const auto* state = std::get_if<GatewayState>(&aEvent.message)) {
     takeState(*state);
   } else if (const auto* hint = std::get_if<NotLeader>(&aEvent.message)) {
@@ -47,6 +52,32 @@
   mActions.emplace_back(Stopped{});
 }
 
+void
+RelayRole::on(const Contacts& aEvent)
+{
+  for (const auto& controller : aEvent.controllers) {
+    if (std::ranges::find(mControllers, controller) == mControllers.end()) {
+      mControllers.push_back(controller);
+      mConnected = false;
+    }
+  }
+  connectAll();
+}
+
+/// A founder has to hear each controller itself; a request to join may come from anywhere.
+void
+RelayRole::takeJoin(const InstanceId& aFrom, const JoinRequest& aRequest)
+{
+  if (aRequest.founding || aRequest.answers != ReplicaId{} || aRequest.instance != aFrom) {
+    return;
+  }
+  for (const auto& controller : mControllers) {
+    if (controller != aFrom) {
+      mActions.emplace_back(Send{ { controller, Role::kController }, aRequest });
+    }
+  }
+}
+
 void
 RelayRole::takePoll(const Address& aFrom, const GatewayPoll& aPoll)
 {
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -68,3 +68,39 @@
   handle(PeerMessage{ { "c1", Role::kController }, answer });
   CHECK(sends().empty());
 }
+
+// Guards against a replaced controller that never finds its group, because the first contacts that its settings name
+// are processes without a disk.
+TEST(Relay, passesRequestsToJoinOn)
+{
+  JoinRequest request;
+  request.replica = ReplicaId{ 9 };
+  request.instance = "c3";
+  handle(PeerMessage{ { "c3", Role::kController }, request });
+  CHECK_EQUAL(2U, sends().size());
+  request.founding = true;
+  handle(PeerMessage{ { "c3", Role::kController }, request });
+  CHECK_EQUAL(0U, sends().size());
+}
+
+// Guards against two relays passing a poll to each other for ever.
+TEST(Relay, takesNoPollsOfRelays)
+{
+  GatewayPoll poll;
+  poll.instance = "g1";
+  poll.number = 1;
+  handle(PeerMessage{ { "c2", Role::kAgent }, poll });
+  CHECK_EQUAL(0U, sends().size());
+}
+
+// Guards against a relay that knows only controllers that are gone, after the first contacts were exchanged.
+TEST(Relay, takesNewContacts)
+{
+  poll(1);
+  handle(Contacts{ { "c1", "c9" } });
+  now += Duration{ 410 };
+  handle(Tick{});
+  now += Duration{ 410 };
+  handle(Tick{});
+  STRCMP_EQUAL("c9", sends().at(0).to.instance.c_str());
+}
