Follow a hint to a leader that the settings do not name; answer relays and gateways both

Gateways and relays now take the named leader into their lists. Cause 2: a gateway that asked directly and through a relay was answered on one way only when its report changed something, mostly through the relay, so it went on asking twice after a cut had ended.

Ruled out: the replicated log.

Tests: GatewayControl.turnsToALeaderThatItDidNotKnow, Relay.turnsToALeaderThatItDidNotKnow, GatewaysController.answersDirectlyAndThroughTheRelay.

--- a/include/rhubarbarch/consensus/replica.h
+++ b/include/rhubarbarch/consensus/replica.h
@@ -47,6 +47,15 @@
   std::vector<Outgoing> messages;
 };
 
+/// How far a member has come, as this replica knows.
+struct MemberProgress
+{
+  Member member;
+  LogIndex matchIndex{};     ///< last index known to be synced there; only on the leader
+  Duration silent{ 0 };      ///< since its last reply; only on the leader
+  bool takesSnapshot = false;
+};
+
 /// One member of the replicated log: a deterministic state machine without clock, disk or socket.
 ///
 /// Usage: call start() once, then handle() for each consensus message and tick() every kTickPeriod; do what each Output
@@ -102,6 +111,8 @@
   /// Number of entries kept after the snapshot.
   std::size_t logLength() const noexcept;
   std::vector<Member> members() const;
+  /// All members with what the leader knows of them; on others only who they are.
+  std::vector<MemberProgress> progress(TimePoint aNow) const;
 
 private:
   struct State;
--- a/include/rhubarbarch/relay/relay_role.h
+++ b/include/rhubarbarch/relay/relay_role.h
@@ -75,6 +75,8 @@
   void on(const Tick& aEvent);
   void on(const Shutdown& aEvent);
   void on(const Contacts& aEvent);
+  /// Connects to controllers that are not known yet.
+  void learn(const std::vector<std::string>& aControllers);
   void takeJoin(const InstanceId& aFrom, const JoinRequest& aRequest);
   void takePoll(const Address& aFrom, const GatewayPoll& aPoll);
   void takeState(const GatewayState& aState);
--- a/src/consensus/replica.cpp
+++ b/src/consensus/replica.cpp
@@ -200,4 +200,20 @@
   return currentMembers(mState->log);
 }
 
+std::vector<MemberProgress>
+Replica::progress(TimePoint aNow) const
+{
+  std::vector<MemberProgress> progress;
+  for (const auto& member : currentMembers(mState->log)) {
+    MemberProgress each{ member, {}, {}, false };
+    if (member.replica == mState->id) {
+      each.matchIndex = consensus::lastIndex(mState->log);
+    } else if (const auto peer = mState->peers.find(member.replica); peer != mState->peers.end()) {
+      each = { member, peer->second.matchIndex, aNow - peer->second.heardAt, peer->second.transfer.has_value() };
+    }
+    progress.push_back(std::move(each));
+  }
+  return progress;
+}
+
 } // namespace rhubarbarch::consensus
--- a/src/controller/controller_role.cpp
+++ b/src/controller/controller_role.cpp
@@ -19,6 +19,8 @@
 // Commands that hold whole documents fill memory and disk long before they are many; a few documents of the largest
 // size that operators may send fit in.
 constexpr std::size_t kSnapshotBytes = std::size_t{ 4 } * 1024 * 1024;
+// A controller that leads without serving, or knows no leader, for this long says so, and again after each such time.
+constexpr Duration kStallReport{ 1500 };
 // Time for a follower to take over before the process ends all the same.
 constexpr Duration kHandoverTime{ 2000 };
 
@@ -115,6 +117,7 @@
   void on(const OperatorRequest& aEvent);
   void on(const PlatformList& aEvent);
   void stopWhenHandedOver();
+  void reportStall();
   void on(const UpstreamsRead& aEvent);
   void on(const Contacts& aEvent) { replica.setContacts(aEvent.controllers); }
   void requestRead();
@@ -135,6 +138,7 @@
   Term leadTerm{};
   bool leading = false;
   bool caughtUp = false; ///< an entry of this leadership is applied, so the state holds all that was committed before
+  TimePoint stalledSince; ///< or last reported; as long as nothing is served
   std::optional<TimePoint> shutdownAt;
   bool stopped = false;
   bool failed = false;
@@ -402,9 +406,41 @@
     }
     requestRead();
   }
+  reportStall();
   stopWhenHandedOver();
 }
 
+// Says what a group that answers nobody waits for.
+void
+ControllerRole::Core::reportStall()
+{
+  const bool follows = !replica.isLeader() && !replica.leader().empty();
+  if (serves() || follows || stalledSince == TimePoint{}) {
+    stalledSince = now;
+    return;
+  }
+  if (now - stalledSince < kStallReport) {
+    return;
+  }
+  stalledSince = now;
+  auto members = nlohmann::json::array();
+  for (const auto& each : replica.progress(now)) {
+    members.push_back({ { "instance", each.member.instance },
+                        { "voter", each.member.voter },
+                        { "match", toNumber(each.matchIndex) },
+                        { "silent_ms", each.silent.count() },
+                        { "snapshot", each.takesSnapshot } });
+  }
+  auto step = context();
+  log(step,
+      leading ? "leader_not_serving" : "no_leader",
+      { { "term", toNumber(replica.term()) },
+        { "last_index", toNumber(replica.lastIndex()) },
+        { "applied_index", toNumber(replica.appliedIndex()) },
+        { "members", std::move(members) } },
+      Severity::kWarning);
+}
+
 // One confirmed read answers all polls of a tick.
 void
 ControllerRole::Core::requestRead()
--- a/src/controller/gateways.cpp
+++ b/src/controller/gateways.cpp
@@ -255,6 +255,7 @@
   auto& memory = aContext.memory;
   auto& gateway = memory.gateways[aPoll.session];
   gateway.from = aFrom;
+  gateway.owed.insert(aFrom);
   gateway.lastSeen = aContext.now;
   gateway.poll = aPoll;
   gateway.poll.plans.clear();
@@ -355,6 +356,18 @@
 void
 proposeReports(Context& aContext);
 
+/// Answers a gateway on each way on which it has asked. It asks directly and through a relay when it has heard nothing
+/// directly, and would go on so if only the relay brought answers.
+void
+answerOwed(Context& aContext, GatewayMemory& aGateway)
+{
+  auto owed = std::exchange(aGateway.owed, {});
+  if (owed.empty()) {
+    owed.insert(aGateway.from);
+  }
+  std::ranges::for_each(owed, [&](const Address& aTo) { answerGateway(aContext, aTo, aGateway.poll); });
+}
+
 /// Answers the last polls of the gateways whose reports are applied; they may be later ones than those reported.
 void
 reportsApplied(Context& aContext, const state::ReportBatch& aBatch)
@@ -371,7 +384,7 @@
   for (const auto& report : aBatch.reports) {
     const auto found = memory.gateways.find(report.session);
     if (found != memory.gateways.end()) {
-      answerGateway(aContext, found->second.from, found->second.poll);
+      answerOwed(aContext, found->second);
       recallForWaiting(aContext, report.session);
       memory.reports.due.try_emplace(report.session, false);
     }
@@ -390,7 +403,7 @@
   state::ReportBatch batch;
   const auto take = [&](const auto& aItem) {
     const auto& [session, waits] = aItem;
-    const auto* gateway = findGateway(aContext, session);
+    auto* gateway = findGateway(aContext, session);
     if (gateway == nullptr) {
       return;
     }
@@ -398,7 +411,9 @@
     if (!report.plans.empty()) {
       batch.reports.push_back(std::move(report));
     } else if (waits) {
-      aContext.memory.nextRead.gatewayPolls.push_back({ gateway->from, gateway->poll });
+      for (const auto& from : std::exchange(gateway->owed, {})) {
+        aContext.memory.nextRead.gatewayPolls.push_back({ from, gateway->poll });
+      }
     }
   };
   const auto first = due.upper_bound(queue.lastFirst);
@@ -479,12 +494,13 @@
     return true;
   }
   remember(aContext, aFrom, *poll, *session);
-  const auto& gateway = aContext.memory.gateways.at(poll->session);
+  auto& gateway = aContext.memory.gateways.at(poll->session);
   // A committed entry proves the leadership as a confirmed read does, and its answer can name what was issued.
   if (!changes(aContext, poll->session, gateway).plans.empty()) {
     aContext.memory.reports.due[poll->session] = true;
     proposeReports(aContext);
   } else {
+    gateway.owed.erase(aFrom);
     aContext.memory.nextRead.gatewayPolls.push_back({ aFrom, gateway.poll });
     recallForWaiting(aContext, poll->session);
   }
--- a/src/controller/memory.h
+++ b/src/controller/memory.h
@@ -80,7 +80,8 @@
 /// What the leader knows of a gateway session from its last poll.
 struct GatewayMemory
 {
-  Address from; ///< where its polls come from; a relay when it is cut off
+  Address from; ///< where its last poll came from; a relay when it is cut off
+  std::set<Address> owed; ///< where polls came from that an answer has not followed yet
   TimePoint lastSeen;
   GatewayPoll poll;                       ///< the last one, without its plans and upstreams
   std::map<PlanId, PlanUse> uses;         ///< by the last full poll and the partial ones since
--- a/src/gateway/control.cpp
+++ b/src/gateway/control.cpp
@@ -256,6 +256,17 @@
   serveWaiting(aState);
 }
 
+/// Connects to a controller that the settings do not name: they hold some of the group's members only.
+void
+learnController(State& aState, const std::string& aController)
+{
+  auto& known = aState.link.controllers;
+  if (std::ranges::find(known, aController) == known.end()) {
+    known.push_back(aController);
+    aState.actions.emplace_back(Connect{ { aController, Role::kController }, aController });
+  }
+}
+
 void
 onNotLeader(State& aState, const InstanceId& aFrom, const NotLeader& aHint)
 {
@@ -263,12 +274,13 @@
   if (currentController(link) != aFrom) {
     return;
   }
-  const auto found = std::ranges::find(link.controllers, aHint.leader);
-  if (found != link.controllers.end() && aHint.leader != aFrom) {
-    choose(aState, static_cast<std::size_t>(found - link.controllers.begin()), Duration{ 0 });
-  } else {
+  if (aHint.leader.empty() || aHint.leader == aFrom) {
     choose(aState, link.current + 1, kNoLeaderPause);
+    return;
   }
+  learnController(aState, aHint.leader);
+  const auto found = std::ranges::find(link.controllers, aHint.leader);
+  choose(aState, static_cast<std::size_t>(found - link.controllers.begin()), Duration{ 0 });
 }
 
 } // namespace
@@ -276,13 +288,7 @@
 void
 onContacts(State& aState, const Contacts& aContacts)
 {
-  auto& known = aState.link.controllers;
-  for (const auto& controller : aContacts.controllers) {
-    if (std::ranges::find(known, controller) == known.end()) {
-      known.push_back(controller);
-      aState.actions.emplace_back(Connect{ { controller, Role::kController }, controller });
-    }
-  }
+  std::ranges::for_each(aContacts.controllers, [&](const auto& aEach) { learnController(aState, aEach); });
 }
 
 void
--- a/src/relay/relay_role.cpp
+++ b/src/relay/relay_role.cpp
@@ -55,7 +55,13 @@
 void
 RelayRole::on(const Contacts& aEvent)
 {
-  for (const auto& controller : aEvent.controllers) {
+  learn(aEvent.controllers);
+}
+
+void
+RelayRole::learn(const std::vector<std::string>& aControllers)
+{
+  for (const auto& controller : aControllers) {
     if (std::ranges::find(mControllers, controller) == mControllers.end()) {
       mControllers.push_back(controller);
       mConnected = false;
@@ -112,12 +118,13 @@
   if (mControllers.empty() || mControllers[mCurrent] != aFrom) {
     return;
   }
-  const auto found = std::ranges::find(mControllers, aHint.leader);
-  if (found != mControllers.end() && aHint.leader != aFrom) {
-    choose(static_cast<std::size_t>(found - mControllers.begin()));
-  } else {
+  if (aHint.leader.empty() || aHint.leader == aFrom) {
     choose(mCurrent + 1);
+    return;
   }
+  learn({ aHint.leader });
+  const auto found = std::ranges::find(mControllers, aHint.leader);
+  choose(static_cast<std::size_t>(found - mControllers.begin()));
 }
 
 void
--- a/tests/controller/gateways_test.cpp
+++ b/tests/controller/gateways_test.cpp
@@ -127,6 +127,29 @@
   CHECK_EQUAL(300, fleet.last<GatewayState>(kSecond).plans.at(0).issued);
 }
 
+// Guards against a gateway that goes on asking through a relay after a cut, because only the relay, whose copy of the
+// poll comes last, is answered.
+TEST(GatewaysController, answersDirectlyAndThroughTheRelay)
+{
+  const Address relay{ "r1", Role::kAgent };
+  put(3, 1000);
+  poll(kFirst);
+  want(kFirst, 400);
+  const auto before = fleet.received<GatewayState>(kFirst).size();
+  // A report of another gateway is under way, so that both polls wait for the next one.
+  poll(kSecond);
+  want(kSecond, 10);
+  ++polls[kSecond].number;
+  fleet.send(kSecond, polls[kSecond]);
+  ++polls[kFirst].number;
+  fleet.send(kFirst, polls[kFirst]);
+  ++polls[kFirst].number;
+  fleet.send(relay, polls[kFirst]);
+  fleet.run(kSoon);
+  CHECK(fleet.received<GatewayState>(kFirst).size() > before);
+  CHECK(!fleet.received<GatewayState>(relay).empty());
+}
+
 // Guards against a poll that was overtaken on its way, for example through a relay, undoing a later one.
 TEST(GatewaysController, ignoresOvertakenPolls)
 {
--- a/tests/gateway/control_test.cpp
+++ b/tests/gateway/control_test.cpp
@@ -35,6 +35,18 @@
   CHECK_FALSE(fleet.role.ready());
 }
 
+// Guards against a restarted gateway that never finds the leader, because its settings name three of five controllers
+// and another one leads (large Great Lakes, trouble-1, seed 27392831: no request was served after all had lost power).
+TEST(GatewayControl, turnsToALeaderThatItDidNotKnow)
+{
+  fleet.tick();
+  fleet.takeAll();
+  fleet.handle(PeerMessage{ { kLeader, Role::kController }, NotLeader{ "10.0.0.5:7000" } });
+  CHECK_EQUAL(1U, fleet.take<Connect>().size());
+  fleet.tick();
+  CHECK(fleet.lastPoll("10.0.0.5:7000").number > 0);
+}
+
 // Guards against polls going on to a controller that does not lead, or is cut off.
 TEST(GatewayControl, followsHintsAndLeavesSilentControllers)
 {
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -104,3 +104,11 @@
   handle(Tick{});
   STRCMP_EQUAL("c9", sends().at(0).to.instance.c_str());
 }
+
+// Guards against polls that go round between first contacts when another member of the group leads.
+TEST(Relay, turnsToALeaderThatItDidNotKnow)
+{
+  poll(1);
+  handle(PeerMessage{ { "c1", Role::kController }, NotLeader{ "c5" } });
+  STRCMP_EQUAL("c5", sends().at(0).to.instance.c_str());
+}
