--- a/include/rhubarbarch/consensus/replica.h
+++ b/include/rhubarbarch/consensus/replica.h
@@ -51,8 +51,8 @@
 struct MemberProgress
 {
   Member member;
-  LogIndex matchIndex{};     ///< last index known to be synced there; only on the leader
-  Duration silent{ 0 };      ///< since its last reply; only on the leader
+  LogIndex matchIndex{}; ///< last index known to be synced there; only on the leader
+  Duration silent{ 0 };  ///< since its last reply; only on the leader
   bool takesSnapshot = false;
 };
 
--- a/include/rhubarbarch/controller/options.h
+++ b/include/rhubarbarch/controller/options.h
@@ -60,7 +60,8 @@
   Duration recallPause{ 40 };    ///< between two recalls of one gateway: some round trips
   Duration demandKept{ 1000 };   ///< a report of waiting requests older than some polls says nothing
   Duration reportPause{ 10 };    ///< between two batches of reports: each costs a sync on every disk
-  Duration documentPause{ 300 }; ///< before a whole document is sent again: a poll period and a slow link
+  Duration documentPause{ 800 }; ///< before a whole document is sent again: a poll period and a slow link
+  std::size_t documentsKept = 8; ///< of which changes can be told; gateways that hold an older one get all
   Tokens nearEndDivisor = 16;    ///< what remains of a budget is told unasked below this part of it
 };
 
--- a/include/rhubarbarch/wire/gateway_messages.h
+++ b/include/rhubarbarch/wire/gateway_messages.h
@@ -3,6 +3,7 @@
 #include "rhubarbarch/base/ids.h"
 #include "rhubarbarch/wire/json_fields.h"
 #include "rhubarbarch/wire/routing.h"
+#include "rhubarbarch/wire/routing_delta.h"
 
 #include <cstdint>
 #include <string>
@@ -65,6 +66,8 @@
   bool superseded = false; ///< a later boot of the instance has registered: stop
   bool hasRouting = false;
   RoutingTable routing;
+  bool hasRoutingDelta = false;
+  RoutingDelta routingDelta;       ///< for a gateway that holds the version `routingDelta.base`
   std::int64_t routingVersion = 0; ///< in force; zero: none yet
   bool hasUpstreams = false;
   std::uint64_t upstreamsRevision = 0;
--- a/src/controller/controller_role.cpp
+++ b/src/controller/controller_role.cpp
@@ -137,7 +137,7 @@
   LogIndex compactedIndex{};
   Term leadTerm{};
   bool leading = false;
-  bool caughtUp = false; ///< an entry of this leadership is applied, so the state holds all that was committed before
+  bool caughtUp = false;  ///< an entry of this leadership is applied, so the state holds all that was committed before
   TimePoint stalledSince; ///< or last reported; as long as nothing is served
   std::optional<TimePoint> shutdownAt;
   bool stopped = false;
--- a/src/controller/gateways.cpp
+++ b/src/controller/gateways.cpp
@@ -220,13 +220,54 @@
   return found == aContext.memory.gateways.end() ? nullptr : &found->second;
 }
 
+/// Keeps the document in force, so that the next one can be told as a change of it.
+void
+keepDocument(Context& aContext)
+{
+  const auto& table = aContext.state.routing.table;
+  auto& memory = aContext.memory;
+  if (table.version == 0 || memory.documents.contains(table.version)) {
+    return;
+  }
+  memory.documents.emplace(table.version, table);
+  memory.documentDeltas.clear();
+  if (memory.documents.size() > aContext.options.gateways.documentsKept) {
+    memory.documents.erase(memory.documents.begin());
+  }
+}
+
+/// @return what changed since a version; null when that document is not kept
+const RoutingDelta*
+deltaSince(Context& aContext, std::int64_t aVersion)
+{
+  auto& memory = aContext.memory;
+  const auto held = memory.documents.find(aVersion);
+  if (held == memory.documents.end()) {
+    return nullptr;
+  }
+  const auto found = memory.documentDeltas.find(aVersion);
+  if (found != memory.documentDeltas.end()) {
+    return &found->second;
+  }
+  auto delta = makeDelta(held->second, aContext.state.routing.table);
+  return &memory.documentDeltas.emplace(aVersion, std::move(delta)).first->second;
+}
+
 void
 addRouting(GatewayState& aAnswer, Context& aContext, const GatewayPoll& aPoll, const Address& aTo)
 {
+  keepDocument(aContext);
   const auto& table = aContext.state.routing.table;
   auto* gateway = findGateway(aContext, aPoll.session);
-  if (table.version > aPoll.routingVersion &&
-      (gateway == nullptr || noteSent(aContext, gateway->routing, static_cast<std::uint64_t>(table.version), aTo))) {
+  const auto revision = static_cast<std::uint64_t>(table.version);
+  if (table.version <= aPoll.routingVersion ||
+      (gateway != nullptr && !noteSent(aContext, gateway->routing, revision, aTo))) {
+    return;
+  }
+  if (const auto* delta = deltaSince(aContext, aPoll.routingVersion)) {
+    aAnswer.hasRoutingDelta = true;
+    aAnswer.routingDelta = *delta;
+  } else {
     aAnswer.hasRouting = true;
     aAnswer.routing = table;
   }
--- a/src/controller/memory.h
+++ b/src/controller/memory.h
@@ -80,7 +80,7 @@
 /// What the leader knows of a gateway session from its last poll.
 struct GatewayMemory
 {
-  Address from; ///< where its last poll came from; a relay when it is cut off
+  Address from;           ///< where its last poll came from; a relay when it is cut off
   std::set<Address> owed; ///< where polls came from that an answer has not followed yet
   TimePoint lastSeen;
   GatewayPoll poll;                       ///< the last one, without its plans and upstreams
@@ -176,7 +176,9 @@
   std::uint64_t orderNumber = 0;
   std::map<std::uint64_t, PendingExplain> explains;
   std::map<SessionId, GatewayMemory> gateways;
-  std::set<InstanceId> gatewaysOpening; ///< a session is proposed for them
+  std::set<InstanceId> gatewaysOpening;                ///< a session is proposed for them
+  std::map<std::int64_t, RoutingTable> documents;      ///< the last few in force, by version, to tell changes from
+  std::map<std::int64_t, RoutingDelta> documentDeltas; ///< to the one in force, by the version they apply to
   FleetSums sums;
   ReportQueue reports;
   std::map<PlanId, std::map<SessionId, TimePoint>> waitingFor; ///< sessions with requests that wait, when last told
--- a/src/gateway/control.cpp
+++ b/src/gateway/control.cpp
@@ -225,6 +225,8 @@
   const bool first = !aState.index;
   if (aAnswer.hasRouting) {
     adoptRouting(aState, aAnswer.routing);
+  } else if (aAnswer.hasRoutingDelta && aState.index && aState.index->table.version == aAnswer.routingDelta.base) {
+    adoptRouting(aState, applyDelta(aState.index->table, aAnswer.routingDelta));
   }
   if (aAnswer.upstreamsAgeMs >= 0) {
     const auto readAt = aState.now - Duration(aAnswer.upstreamsAgeMs);
