Leave answers and events without end

Cause: bytes that are no answer may come until the caller closes. A head was bounded (32 KiB), but a body passed on as a whole and a single event of a stream were held without bound until the deadline. Now 4 MiB and 1 MiB; then the call is cancelled and repeated elsewhere where the route allows it. Whole events that came with the first of these bytes are still passed on.

Tests: GatewayRequests.leavesAnAnswerWithoutEnd, leavesAnEventWithoutEnd.

--- a/include/rhubarbarch/gateway/options.h
+++ b/include/rhubarbarch/gateway/options.h
@@ -39,8 +39,10 @@
   Duration shortestPatience{ 250 }; ///< also when the target latency is very short
   Duration latestRetry{ 60 };       ///< no attempt starts with less time left than this
   std::size_t windowBytes = 262144; ///< undelivered answer of one request, in bytes; reading pauses above it
-  std::size_t maxRequests = 2048;   ///< requests held at once
-  std::size_t maxHeldBytes = 48U << 20U; ///< bodies and undelivered answers of all requests
+  std::size_t maxAnswerBytes = 4U << 20U; ///< of an answer that is passed on as a whole; a longer one is no answer
+  std::size_t maxEventBytes = 1U << 20U;  ///< of one event of a stream, likewise
+  std::size_t maxRequests = 2048;         ///< requests held at once
+  std::size_t maxHeldBytes = 48U << 20U;  ///< bodies and undelivered answers of all requests
 
   // Retries, summed over the fleet and any window of this length
   double retryRatio = 0.2;     ///< further attempts per request of a service
--- a/src/gateway/attempts.cpp
+++ b/src/gateway/attempts.cpp
@@ -142,6 +142,19 @@
   startAttempt(aState, aRequest);
 }
 
+void
+passWhole(State& aState, Request& aRequest, std::string aEvents)
+{
+  noteFirstBytes(aState, aRequest);
+  sendStreamHead(aState, aRequest);
+  aRequest.undelivered += aEvents.size();
+  aState.actions.emplace_back(ReplyBody{ aRequest.call.caller, std::move(aEvents) });
+  if (!aRequest.paused && aRequest.undelivered > aState.options.windowBytes) {
+    aRequest.paused = true;
+    aState.actions.emplace_back(PauseCall{ aRequest.attempt->exchange, true });
+  }
+}
+
 void
 passEvents(State& aState, Request& aRequest, const std::string& aData)
 {
@@ -150,16 +163,11 @@
     loseAttempt(aState, aRequest, "resumed at another event", true, true);
     return;
   }
-  if (events.empty()) {
-    return;
+  if (!events.empty()) {
+    passWhole(aState, aRequest, std::move(events));
   }
-  noteFirstBytes(aState, aRequest);
-  sendStreamHead(aState, aRequest);
-  aRequest.undelivered += events.size();
-  aState.actions.emplace_back(ReplyBody{ aRequest.call.caller, std::move(events) });
-  if (!aRequest.paused && aRequest.undelivered > aState.options.windowBytes) {
-    aRequest.paused = true;
-    aState.actions.emplace_back(PauseCall{ aRequest.attempt->exchange, true });
+  if (aRequest.stream.heldBytes() > aState.options.maxEventBytes) {
+    loseAttempt(aState, aRequest, "event without end", true, true);
   }
 }
 
@@ -279,6 +287,9 @@
     passEvents(aState, *request, aData.data);
   } else {
     request->body += aData.data;
+    if (request->body.size() > aState.options.maxAnswerBytes) {
+      loseAttempt(aState, *request, "answer without end", true, true);
+    }
   }
 }
 
--- a/src/gateway/event_stream.h
+++ b/src/gateway/event_stream.h
@@ -22,6 +22,8 @@
   const std::string& lastId() const noexcept { return mLastId; }
   /// @return whether bytes of an event that is not whole are held
   bool partial() const noexcept { return !mHeld.empty(); }
+  /// @return bytes held of an event that is not whole
+  std::size_t heldBytes() const noexcept { return mHeld.size(); }
   /// Drops the bytes of an event that will not become whole.
   void dropPartial() { mHeld.clear(); }
   /// Checks that the next whole event follows the one passed on last, after a resume; ids are whole numbers.
--- a/tests/gateway/requests_test.cpp
+++ b/tests/gateway/requests_test.cpp
@@ -240,3 +240,32 @@
     STRCMP_EQUAL("d2", fleet.takeOne<StartCall>().upstreamId.c_str());
   }
 }
+
+// Guards against the memory of a gateway filling up with bytes without end from a server in trouble.
+TEST(GatewayRequests, leavesAnAnswerWithoutEnd)
+{
+  fleet.call("/stock/1");
+  const auto first = fleet.takeOne<StartCall>();
+  fleet.head(first.exchange, 200);
+  const std::string bytes(std::size_t{ 1 } << 20U, 'x');
+  for (int i = 0; i < 4; ++i) {
+    fleet.handle(UpstreamData{ first.exchange, bytes });
+  }
+  CHECK(fleet.take<CancelCall>().empty());
+  fleet.handle(UpstreamData{ first.exchange, bytes });
+  CHECK(fleet.takeOne<CancelCall>().exchange == first.exchange);
+  CHECK(first.upstreamId != fleet.takeOne<StartCall>().upstreamId);
+}
+
+// Guards against the same in a stream, and against whole events being lost that came with the first of these bytes.
+TEST(GatewayRequests, leavesAnEventWithoutEnd)
+{
+  fleet.call("/summary/1");
+  const auto first = fleet.takeOne<StartCall>();
+  fleet.head(first.exchange, 200, true);
+  fleet.handle(UpstreamData{ first.exchange, Fixture::event(1) + std::string((std::size_t{ 1 } << 20U) + 1, 'x') });
+  STRCMP_EQUAL(Fixture::event(1).c_str(), fleet.takeOne<ReplyBody>().data.c_str());
+  CHECK(fleet.takeOne<CancelCall>().exchange == first.exchange);
+  const auto second = fleet.takeOne<StartCall>();
+  STRCMP_EQUAL("1", second.lastEventId.c_str());
+}
