--- a/src/daemon/role_dispatcher.cpp
+++ b/src/daemon/role_dispatcher.cpp
@@ -19,20 +19,20 @@
 void
 RoleDispatcher::deliver(Lane aLane, Envelope aEnvelope)
 {
+  // The settings of others may name a process without a disk as a controller; its relay passes on what it gets as one.
+  const bool asController = aEnvelope.to.role == Role::kController && controller == nullptr;
+  const bool forRelay = relay != nullptr && (aEnvelope.to.role == Role::kAgent || asController);
   if (aEnvelope.to.role == Role::kRouter && gateway != nullptr) {
     gateway->pushUnlessFull(aLane, router::PeerMessage{ std::move(aEnvelope.from), std::move(aEnvelope.message) });
   } else if (aEnvelope.to.role == Role::kRouter && router != nullptr) {
     router->pushUnlessFull(aLane, router::PeerMessage{ std::move(aEnvelope.from), std::move(aEnvelope.message) });
-  } else if (aEnvelope.to.role == Role::kAgent && relay != nullptr) {
+  } else if (forRelay) {
     relay->pushUnlessFull(aLane, router::PeerMessage{ std::move(aEnvelope.from), std::move(aEnvelope.message) });
   } else if (aEnvelope.to.role == Role::kAgent && agent != nullptr) {
     agent->pushUnlessFull(aLane, agent::PeerMessage{ std::move(aEnvelope.from), std::move(aEnvelope.message) });
   } else if (aEnvelope.to.role == Role::kController && controller != nullptr) {
     controller->pushUnlessFull(aLane,
                                controller::PeerMessage{ std::move(aEnvelope.from), std::move(aEnvelope.message) });
-  } else if (aEnvelope.to.role == Role::kController && relay != nullptr) {
-    // The settings of others may name a process without a disk as a controller; it passes on what it gets as one.
-    relay->pushUnlessFull(aLane, router::PeerMessage{ std::move(aEnvelope.from), std::move(aEnvelope.message) });
   }
 }
 
