--- a/tests/fleet/leader_overload_test.cpp
+++ b/tests/fleet/leader_overload_test.cpp
@@ -36,28 +36,28 @@
     table.routes = { route() };
     table.services = { { "engine", "/healthz", 100, true, { 4, 10000, 3 } } };
     table.plans = { { "gold", { "gold-key" }, 1, 1'000'000 } };
-    fleet.operate(controller::PutRouting{ table, "source", "digest" });
+    mFleet.operate(controller::PutRouting{ table, "source", "digest" });
     holdAll();
     for (int i = 0; i < kGateways; ++i) {
       gateway::GatewayOptions options;
       options.instance = "g" + std::to_string(i);
-      options.controllers = { fleet.leader() };
-      names.push_back({ options.instance, Role::kRouter });
-      gateways.push_back(std::make_unique<gateway::GatewayRole>(
+      options.controllers = { mFleet.leader() };
+      mNames.push_back({ options.instance, Role::kRouter });
+      mGateways.push_back(std::make_unique<gateway::GatewayRole>(
         options, Boot{ static_cast<std::uint64_t>(i) + 1 }, std::mt19937_64(static_cast<std::uint64_t>(i))));
     }
   }
 
   void run(Duration aTime, Cost aCost)
   {
-    for (const auto end = fleet.now + aTime; fleet.now < end;) {
-      fleet.run(kTickPeriod);
+    for (const auto end = mFleet.now + aTime; mFleet.now < end;) {
+      mFleet.run(kTickPeriod);
       serve(aCost);
-      for (std::size_t i = 0; i < gateways.size(); ++i) {
-        for (auto& message : std::exchange(fleet.inboxes[names[i]], {})) {
-          handle(i, gateway::PeerMessage{ { fleet.leader(), Role::kController }, std::move(message) });
+      for (std::size_t i = 0; i < mGateways.size(); ++i) {
+        for (auto& message : std::exchange(mFleet.inboxes[mNames[i]], {})) {
+          handle(i, gateway::PeerMessage{ { mFleet.leader(), Role::kController }, std::move(message) });
         }
-        if (fleet.now.time_since_epoch() % kCallPeriod == Duration{ 0 }) {
+        if (mFleet.now.time_since_epoch() % kCallPeriod == Duration{ 0 }) {
           handle(i, call());
         }
         handle(i, gateway::Tick{});
@@ -87,13 +87,13 @@
     poll.instance = kHolder.instance;
     poll.boot = Boot{ 99 };
     poll.number = 1;
-    fleet.send(kHolder, poll);
-    fleet.run(kTickPeriod);
-    poll.session = fleet.last<GatewayState>(kHolder).session;
+    mFleet.send(kHolder, poll);
+    mFleet.run(kTickPeriod);
+    poll.session = mFleet.last<GatewayState>(kHolder).session;
     poll.number = 2;
     poll.plans = { { "gold", 0, 0, 0, 1'000'000, 0 } };
-    fleet.send(kHolder, poll);
-    fleet.run(kTickPeriod);
+    mFleet.send(kHolder, poll);
+    mFleet.run(kTickPeriod);
   }
 
   gateway::CallerCall call()
@@ -114,9 +114,9 @@
 
   void handle(std::size_t aGateway, const gateway::Event& aEvent)
   {
-    for (auto& action : gateways[aGateway]->handle(aEvent, fleet.now)) {
+    for (auto& action : mGateways[aGateway]->handle(aEvent, mFleet.now)) {
       if (auto* sent = std::get_if<gateway::Send>(&action)) {
-        queue.push_back({ names[aGateway], sent->to, std::move(sent->message) });
+        queue.push_back({ mNames[aGateway], sent->to, std::move(sent->message) });
       }
     }
   }
@@ -128,16 +128,16 @@
       mTime -= aCost;
       const auto envelope = std::move(queue.front());
       queue.pop_front();
-      fleet.send(envelope.from, envelope.message);
+      mFleet.send(envelope.from, envelope.message);
     }
     if (queue.empty()) {
       mTime = Cost{ 0 };
     }
   }
 
-  ControllerHarness fleet;
-  std::vector<Address> names;
-  std::vector<std::unique_ptr<gateway::GatewayRole>> gateways;
+  ControllerHarness mFleet;
+  std::vector<Address> mNames;
+  std::vector<std::unique_ptr<gateway::GatewayRole>> mGateways;
   Cost mTime{ 0 }; ///< of the leader's processor, not used yet
   std::uint64_t mCalls = 0;
 };
