Tell how late a gateway's event loop is

The logs could not tell a saturated event loop from a slow link: total_ms counts from the read of a request, and nothing said how long it had lain unread. A timer that is handled late waited behind the same events as a request that is read at that moment, so its delay is measured at each tick, logged with each request (loop_delay_ms), at most once a second by itself (loop_delayed, with the requests since the last line) and published as rhubarbarch_loop_delay_*. No decision depends on it yet.

--- a/include/rhubarbarch/gateway/events.h
+++ b/include/rhubarbarch/gateway/events.h
@@ -61,6 +61,12 @@
   std::string lastEventId;        ///< the caller resumes a stream after this event; empty: from the start
 };
 
+/// A caller left before its request was read; it was not passed on.
+struct CallerAbandoned
+{
+  std::string requestId; ///< the caller's
+};
+
 /// Head of an upstream's answer, as the adapter decoded it.
 struct UpstreamHead
 {
@@ -100,6 +106,12 @@
   std::vector<UpstreamEntry> upstreams;
 };
 
+/// How late the event loop is: what it reads now has lain unread for up to this long.
+struct LoopDelay
+{
+  Duration delay{ 0 };
+};
+
 /// The settings name other first contacts.
 struct Contacts
 {
@@ -107,6 +119,7 @@
 };
 
 using Event = std::variant<CallerCall,
+                           CallerAbandoned,
                            CallerDrained,
                            CallerGone,
                            UpstreamHead,
@@ -114,6 +127,7 @@
                            UpstreamEnd,
                            UpstreamError,
                            UpstreamsRead,
+                           LoopDelay,
                            Contacts,
                            PeerMessage,
                            PeerUp,
--- a/include/rhubarbarch/gateway/options.h
+++ b/include/rhubarbarch/gateway/options.h
@@ -49,6 +49,10 @@
   std::int64_t retrySlack = 0; ///< further attempts beyond the ratio
   Duration retryWindow{ 10'000 };
 
+  // Overload
+  Duration delayLogged{ 100 };     ///< a later event loop is logged
+  Duration delayLogPeriod{ 1000 }; ///< at most one such line in this time
+
   // Shutdown
   Duration shortestLeave{ 2500 }; ///< a balancer that asks once a second takes a gateway out after two misses
   Duration lastCall{ 5000 };      ///< requests that come later are refused at once, as not run
--- a/src/daemon/gateway_part.cpp
+++ b/src/daemon/gateway_part.cpp
@@ -1,4 +1,5 @@
 #include "execute.h"
+#include "loop_figures.h"
 #include "parts.h"
 #include "role_options.h"
 
@@ -171,6 +172,7 @@
     mTimer.expires_after(kTickPeriod);
     mTimer.async_wait([this](const boost::system::error_code& aError) {
       if (!aError) {
+        noteDelay();
         handle(gateway::Tick{});
         publish();
         awaitTick();
@@ -178,6 +180,14 @@
     });
   }
 
+  /// A timer that is handled late waited behind the same events as a request that is read now.
+  void noteDelay()
+  {
+    const auto delay = std::chrono::steady_clock::now() - mTimer.expiry();
+    mDelays.add(1, std::chrono::duration_cast<std::chrono::microseconds>(delay));
+    handle(gateway::LoopDelay{ std::chrono::duration_cast<Duration>(delay) });
+  }
+
   void publish()
   {
     mReady = mRole.ready();
@@ -190,6 +200,7 @@
     }
     mNextPublish = now() + kPublishPeriod;
     auto metrics = mRole.metrics();
+    std::ranges::move(mDelays.take("gateway"), std::back_inserter(metrics));
     const std::scoped_lock lock(mMutex);
     mPublished = std::move(metrics);
   }
@@ -328,6 +339,7 @@
   std::unordered_map<gateway::ExchangeId, Call> mCalls;
   std::map<std::string, std::shared_ptr<net::HttpPool>> mPools;
   std::deque<gateway::Event> mPending;
+  LoopFigures mDelays{ "rhubarbarch_loop_delay" };
   bool mHandling = false;
   TimePoint mNextPublish;
   TimePoint mNextPrune;
--- a/src/daemon/loop_figures.cpp
+++ b/src/daemon/loop_figures.cpp
@@ -8,6 +8,7 @@
 #include <boost/accumulators/statistics/stats.hpp>
 
 #include <memory>
+#include <utility>
 
 namespace rhubarbarch::daemon {
 
@@ -25,8 +26,9 @@
   acc::accumulator_set<double, Statistics> seconds{ acc::quantile_probability = kHighQuantile };
 };
 
-LoopFigures::LoopFigures()
-  : mAccumulators(std::make_unique<Accumulators>())
+LoopFigures::LoopFigures(std::string aPrefix)
+  : mPrefix(std::move(aPrefix))
+  , mAccumulators(std::make_unique<Accumulators>())
 {
 }
 
@@ -46,10 +48,10 @@
   const auto& seconds = mAccumulators->seconds;
   const bool any = acc::count(seconds) > 0;
   Metrics metrics{
-    { "rhubarbarch_loop_events_total", label, static_cast<double>(mEvents) },
-    { "rhubarbarch_loop_mean_seconds", label, any ? acc::mean(seconds) : 0 },
-    { "rhubarbarch_loop_p99_seconds", label, any ? acc::p_square_quantile(seconds) : 0 },
-    { "rhubarbarch_loop_max_seconds", label, any ? acc::max(seconds) : 0 },
+    { mPrefix + "_events_total", label, static_cast<double>(mEvents) },
+    { mPrefix + "_mean_seconds", label, any ? acc::mean(seconds) : 0 },
+    { mPrefix + "_p99_seconds", label, any ? acc::p_square_quantile(seconds) : 0 },
+    { mPrefix + "_max_seconds", label, any ? acc::max(seconds) : 0 },
   };
   mAccumulators = std::make_unique<Accumulators>();
   return metrics;
--- a/src/daemon/loop_figures.h
+++ b/src/daemon/loop_figures.h
@@ -9,16 +9,19 @@
 
 namespace rhubarbarch::daemon {
 
-/// Time that the thread of a role took for each batch of events. Used on one thread.
+/// Times of an event loop: how long each batch of events took, or how late the loop was. Used on one thread.
+///
+/// Usage: `figures.add(events, time)` for each batch, `figures.take("router")` now and then.
 class LoopFigures
 {
 public:
-  LoopFigures();
+  /// @param aPrefix of the metrics' names
+  explicit LoopFigures(std::string aPrefix = "rhubarbarch_loop");
   ~LoopFigures();
   LoopFigures(const LoopFigures&) = delete;
   LoopFigures& operator=(const LoopFigures&) = delete;
 
-  /// Counts one batch.
+  /// Counts one batch, or one measurement of the delay.
   void add(std::size_t aEvents, std::chrono::microseconds aTime);
 
   /// @return count, mean, 99th percentile and largest time since the last call, in seconds
@@ -26,6 +29,7 @@
 
 private:
   struct Accumulators;
+  std::string mPrefix;
   std::unique_ptr<Accumulators> mAccumulators;
   std::uint64_t mEvents = 0;
 };
--- a/src/gateway/finish.cpp
+++ b/src/gateway/finish.cpp
@@ -58,6 +58,7 @@
         { "cost", aRequest.reserved ? cost(aRequest) : 0 },
         { "expected_ms", attempt ? attempt->expected.count() : 0 },
         { "total_ms", (aState.now - aRequest.arrivedAt).count() },
+        { "loop_delay_ms", aRequest.loopDelay.count() },
         { "routing", aRequest.index ? aRequest.index->table.version : 0 },
         { "list_age_ms", (aState.now - aState.upstreams.listedAt).count() } });
 }
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -53,6 +53,7 @@
   State& state;
 
   void operator()(const CallerCall& aEvent) const { accept(state, aEvent); }
+  void operator()(const CallerAbandoned& aEvent) const { onCallerAbandoned(state, aEvent); }
   void operator()(const CallerDrained& aEvent) const { onCallerDrained(state, aEvent); }
   void operator()(const CallerGone& aEvent) const { onCallerGone(state, aEvent.caller); }
   void operator()(const UpstreamHead& aEvent) const { onHead(state, aEvent); }
@@ -64,6 +65,7 @@
     applyUpstreams(state, aEvent.upstreams, state.now);
     state.upstreams.revision = 0;
   }
+  void operator()(const LoopDelay& aEvent) const { onLoopDelay(state, aEvent.delay); }
   void operator()(const Contacts& aEvent) const { onContacts(state, aEvent); }
   void operator()(const PeerMessage& aEvent) const { handlePeer(state, aEvent); }
   void operator()(const PeerUp& /*aEvent*/) const {}
--- a/src/gateway/requests.cpp
+++ b/src/gateway/requests.cpp
@@ -146,6 +146,7 @@
   auto& request = aState.requests[aCall.caller];
   request.call = aCall;
   request.arrivedAt = aState.now;
+  request.loopDelay = aState.loop.delay;
   aState.heldBytes += aCall.body->size();
   request.endsAt = aState.now + (aCall.deadline > Duration{ 0 } ? aCall.deadline : kUnknownDeadline);
   if (!aState.index && aState.now - aState.startedAt < aState.options.startWait) {
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -44,8 +44,9 @@
   PlanId plan;          ///< empty on public routes
   bool limited = false; ///< the plan has a budget and the request takes tokens
   std::int32_t priority = 0;
-  TimePoint arrivedAt;
-  TimePoint endsAt; ///< the caller's deadline or the route's timeout, whichever comes first
+  TimePoint arrivedAt;     ///< when it was read
+  Duration loopDelay{ 0 }; ///< longest time that it may have lain unread before
+  TimePoint endsAt;        ///< the caller's deadline or the route's timeout, whichever comes first
   Tokens worstCase = 0;
   bool reserved = false;
   std::optional<TimePoint> waitsUntil; ///< for tokens, or for the first document
@@ -90,6 +91,15 @@
   std::map<std::int32_t, std::uint64_t> refusals; ///< by HTTP status
 };
 
+/// How late the event loop is.
+struct LoopState
+{
+  Duration delay{ 0 };   ///< at the last tick
+  Duration longest{ 0 }; ///< since the last log line
+  std::uint64_t requestsAtLog = 0;
+  TimePoint loggedAt;
+};
+
 /// Everything that the gateway role knows. Free functions in this folder work on it.
 struct State
 {
@@ -110,6 +120,7 @@
   std::map<ExchangeId, CallerId> exchanges;
   std::uint64_t lastExchange = 0;
   std::size_t heldBytes = 0; ///< request bodies of all requests
+  LoopState loop;
   std::optional<TimePoint> leavingSince;
   bool stopped = false;
   Totals totals;
@@ -138,6 +149,13 @@
 void
 onContacts(State& aState, const Contacts& aContacts);
 
+// overload.cpp
+
+void
+onLoopDelay(State& aState, Duration aDelay);
+void
+onCallerAbandoned(State& aState, const CallerAbandoned& aAbandoned);
+
 // requests.cpp
 
 void
