Leave requests whose callers had gone before they were read

The request was passed on, and the close was seen by the next read only. The server looks for the close first and gives such requests to a callback of their own; the gateway logs them as caller_gone_unread and sends nothing. Servers without that callback, those of operators, behave as before. The test fails without the look (30 s without the request being told as abandoned) and passes with it.

--- a/src/daemon/gateway_part.cpp
+++ b/src/daemon/gateway_part.cpp
@@ -143,6 +143,9 @@
   {
     net::HttpServerEvents events;
     events.request = [this](router::CallerRequest&& aRequest) { handle(platform::decodeCall(std::move(aRequest))); };
+    events.abandoned = [this](router::CallerRequest&& aRequest) {
+      handle(gateway::CallerAbandoned{ platform::decodeCall(std::move(aRequest)).requestId });
+    };
     events.drained = [this](const router::CallerDrained& aDrained) { handle(aDrained); };
     events.gone = [this](const router::CallerGone& aGone) { handle(aGone); };
     events.log = [this](const LogLine& aLine) { mProcess.log.write(aLine); };
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -59,6 +59,7 @@
   {
     error_code ignored;
     ignoreError(mSocket.set_option(tcp::no_delay(true), ignored));
+    ignoreError(mSocket.non_blocking(true, ignored));
   }
 
   ~Connection() override
@@ -109,6 +110,8 @@
   void refuseMalformed(const error_code& aError);
   void dispatch();
   void passOn();
+  bool callerLeft();
+  router::CallerRequest takeRequest();
   void answerDone();
 
   void refuse(const Refusal& aRefusal);
@@ -264,6 +267,12 @@
     refuse({ 400, "malformed_target" });
     return;
   }
+  if (mShared->events.abandoned && callerLeft()) {
+    ++mShared->abandoned;
+    mShared->events.abandoned(takeRequest());
+    close();
+    return;
+  }
   mPhase = Phase::kAnswering;
   mCaller = static_cast<router::CallerId>(++mShared->lastCaller);
   mShared->callers[mCaller] = shared_from_this();
@@ -282,6 +291,24 @@
     return;
   }
   mTimer.cancel();
+  mShared->events.request(takeRequest());
+}
+
+/// A close that arrived behind the request while both lay unread. The next read would tell, but only after the request
+/// was passed on.
+bool
+Connection::callerLeft()
+{
+  error_code error;
+  char byte = 0;
+  mSocket.receive(boost::asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+  return error && error != boost::asio::error::would_block;
+}
+
+/// Moves the parsed request out of the parser.
+router::CallerRequest
+Connection::takeRequest()
+{
   auto& request = mParser->get();
   const auto text = [&request](auto aField) {
     const auto value = request[aField];
@@ -301,7 +328,7 @@
     }
   }
   passed.body = std::move(request.body());
-  mShared->events.request(std::move(passed));
+  return passed;
 }
 
 void
--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -42,6 +42,7 @@
   std::atomic<std::size_t> acceptBatch{ 0 }; ///< most connections that were found waiting at once
   std::atomic<std::uint64_t> requests{ 0 };
   std::atomic<std::uint64_t> refused{ 0 };
+  std::atomic<std::uint64_t> abandoned{ 0 }; ///< requests whose callers left before they were read
   std::atomic<std::uint64_t> bytesSent{ 0 };
 };
 
--- a/tests/net/http_server_test.cpp
+++ b/tests/net/http_server_test.cpp
@@ -17,6 +17,7 @@
   std::vector<router::CallerRequest> requests;
   std::map<router::CallerId, std::uint64_t> drained;
   std::vector<router::CallerId> gone;
+  std::vector<router::CallerRequest> abandoned;
   std::size_t turns = 0; ///< of the event loop when the last request was passed on
 };
 
@@ -53,6 +54,9 @@
     events.gone = [this](const router::CallerGone& aGone) {
       seen.change([&](Seen& aSeen) { aSeen.gone.push_back(aGone.caller); });
     };
+    events.abandoned = [this](router::CallerRequest&& aRequest) {
+      seen.change([&](Seen& aSeen) { aSeen.abandoned.push_back(std::move(aRequest)); });
+    };
     events.log = [](LogLine&&) {};
     events.congested = [] { return false; };
     loop.run([&] {
@@ -286,6 +290,25 @@
   CHECK(seen.copy().turns <= kMostTurns);
 }
 
+// Guards against GONE: a busy event loop passing on requests whose callers gave up while these lay unread.
+TEST(HttpServer, requestsOfCallersThatLeftBeforeTheReadAreNotPassedOn)
+{
+  start();
+  RawSocket patient(server->port());
+  loop.run([&] {
+    // The loop is busy here, so that the request and the close behind it are there when it reads.
+    RawSocket hasty(server->port());
+    hasty.send("POST /hasty HTTP/1.1\r\nContent-Length: 2\r\n\r\n{}");
+    hasty.close();
+    patient.send("GET /patient HTTP/1.1\r\n\r\n");
+  });
+  STRCMP_EQUAL("/patient", awaitRequest(1).path.c_str());
+  CHECK(seen.wait([](const Seen& aSeen) { return aSeen.abandoned.size() == 1; }));
+  STRCMP_EQUAL("/hasty", seen.copy().abandoned.front().path.c_str());
+  CHECK_EQUAL(1U, seen.copy().requests.size());
+  CHECK_EQUAL(1U, server->answersInProgress());
+}
+
 // Guards against a graceful shutdown cutting an answer in progress.
 TEST(HttpServer, stopLetsAnswersFinish)
 {
