--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -237,6 +237,7 @@
   const auto expect = mParser->get()[http::field::expect];
   if (boost::beast::iequals(expect, "100-continue") && !mParser->is_done()) {
     queue("HTTP/1.1 100 Continue\r\n\r\n", false);
+    write();
   }
 }
 
@@ -340,6 +341,8 @@
   mKeepAlive = mKeepAlive && !mShared->stopping && (mChunked || !aHead.chunked);
   mBodyLeft = aHead.contentLength;
   queue(answerHead(aHead, { mChunked, mKeepAlive, bodyless }), false);
+  // The body mostly follows at once, and one write then takes both.
+  boost::asio::post(mSocket.get_executor(), [self = shared_from_this()] { self->write(); });
 }
 
 void
@@ -356,10 +359,12 @@
     queue(chunkStart(aData.size()), false);
     queue(std::move(aData), true);
     queue("\r\n", false);
+    write();
     return;
   }
   mBodyLeft -= std::min<std::uint64_t>(mBodyLeft, aData.size());
   queue(std::move(aData), true);
+  write();
 }
 
 void
@@ -371,6 +376,7 @@
   if (mChunked && !mHeadOnly) {
     queue("0\r\n\r\n", false);
   }
+  write();
   // An answer shorter than its length must not be taken for a whole one.
   if (!mHeadOnly && mBodyLeft > 0 && !mChunked) {
     mKeepAlive = false;
@@ -413,6 +419,7 @@
       "http_request_refused",
       { { "server", mShared->options.name }, { "status", aRefusal.status }, { "error", aRefusal.error } } });
   queue(refusalText(aRefusal, mHeadOnly), false);
+  write();
   armTimer(mShared->options.receiveTimeout);
 }
 
@@ -420,7 +427,6 @@
 Connection::queue(std::string aData, bool aBody)
 {
   mOut.push_back({ std::move(aData), aBody, 0 });
-  write();
 }
 
 void
@@ -437,6 +443,7 @@
     }
   }
   mWriting = true;
+  ++mShared->writes;
   armWriteTimer();
   mSocket.async_write_some(buffers, [self = shared_from_this()](const error_code& aError, std::size_t aBytes) {
     self->mWriting = false;
--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -43,6 +43,7 @@
   std::atomic<std::uint64_t> requests{ 0 };
   std::atomic<std::uint64_t> refused{ 0 };
   std::atomic<std::uint64_t> abandoned{ 0 }; ///< requests whose callers left before they were read
+  std::atomic<std::uint64_t> writes{ 0 };
   std::atomic<std::uint64_t> bytesSent{ 0 };
 };
 
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -227,6 +227,7 @@
            { "rhubarbarch_http_refused_total", labels, static_cast<double>(shared.refused.load()) },
            { "rhubarbarch_http_accept_batch_max", labels, static_cast<double>(shared.acceptBatch.load()) },
            { "rhubarbarch_http_abandoned_total", labels, static_cast<double>(shared.abandoned.load()) },
+           { "rhubarbarch_http_writes_total", labels, static_cast<double>(shared.writes.load()) },
            { "rhubarbarch_http_sent_bytes_total", labels, static_cast<double>(shared.bytesSent.load()) } };
 }
 
--- a/tests/net/http_server_test.cpp
+++ b/tests/net/http_server_test.cpp
@@ -97,6 +97,14 @@
     });
   }
 
+  /// Writes of the server to its sockets so far.
+  double writes() const
+  {
+    const auto metrics = server->metrics();
+    const auto found = std::ranges::find(metrics, "rhubarbarch_http_writes_total", &Metric::name);
+    return found == metrics.end() ? -1 : found->value;
+  }
+
   std::string statusOf(const std::string& aRequest)
   {
     RawSocket caller(server->port());
@@ -216,6 +224,50 @@
   CHECK(text.ends_with("\r\n\r\n12\r\nhello world, hello\r\n0\r\n\r\n"));
 }
 
+// Guards against processor time and packets spent on the framing of answers: each event of a stream in three writes.
+TEST(HttpServer, writesFramingTogetherWithTheBody)
+{
+  constexpr double kEvents = 5;
+  start();
+  RawSocket caller(server->port());
+  caller.send("GET /plain HTTP/1.1\r\n\r\n");
+  answer(awaitRequest(1).caller, "whole");
+  CHECK(caller.readUntil("whole").ends_with("whole"));
+  CHECK_EQUAL(1, writes());
+
+  caller.send("GET /events HTTP/1.1\r\n\r\n");
+  const auto id = awaitRequest(2).caller;
+  loop.run([&] {
+    router::ReplyHead head;
+    head.caller = id;
+    head.chunked = true;
+    server->reply(head);
+    server->reply(router::ReplyBody{ id, "event" });
+  });
+  for (int event = 1; event < kEvents; ++event) {
+    CHECK(caller.readUntil("event\r\n").ends_with("event\r\n"));
+    loop.run([&] { server->reply(router::ReplyBody{ id, "event" }); });
+  }
+  CHECK(caller.readUntil("event\r\n").ends_with("event\r\n"));
+  CHECK_EQUAL(1 + kEvents, writes());
+}
+
+// Guards against a head waiting for a body that comes much later.
+TEST(HttpServer, writesAHeadWithoutItsBody)
+{
+  start();
+  RawSocket caller(server->port());
+  caller.send("GET /slow HTTP/1.1\r\n\r\n");
+  const auto id = awaitRequest(1).caller;
+  loop.run([&] {
+    router::ReplyHead head;
+    head.caller = id;
+    head.chunked = true;
+    server->reply(head);
+  });
+  CHECK(caller.readUntil("\r\n\r\n").ends_with("\r\n\r\n"));
+}
+
 // Guards against an answer that the upstream cut being taken for a whole one.
 TEST(HttpServer, abortedAnswerHasNoEnd)
 {
