Refuse requests while the event loop stays late

When two ticks in a row are 200 ms late or more, new requests are refused at once as not run, to come back in 50 ms; the balancer sends retries to other gateways. A single pause, such as a suspended machine, refuses nobody.

--- a/include/rhubarbarch/gateway/options.h
+++ b/include/rhubarbarch/gateway/options.h
@@ -50,6 +50,7 @@
   Duration retryWindow{ 10'000 };
 
   // Overload
+  Duration overloadDelay{ 200 };   ///< of the event loop in two ticks in a row; each step of a call waits as long again
   Duration delayLogged{ 100 };     ///< a later event loop is logged
   Duration delayLogPeriod{ 1000 }; ///< at most one such line in this time
 
--- a/src/gateway/overload.cpp
+++ b/src/gateway/overload.cpp
@@ -11,6 +11,7 @@
 onLoopDelay(State& aState, Duration aDelay)
 {
   auto& loop = aState.loop;
+  loop.sustained = std::min(loop.delay, aDelay);
   loop.delay = aDelay;
   loop.longest = std::max(loop.longest, aDelay);
   if (aDelay < aState.options.delayLogged || aState.now - loop.loggedAt < aState.options.delayLogPeriod) {
@@ -26,6 +27,12 @@
         { "in_progress", aState.requests.size() } });
 }
 
+bool
+overloaded(const State& aState) noexcept
+{
+  return aState.loop.sustained >= aState.options.overloadDelay;
+}
+
 void
 onCallerAbandoned(State& aState, const CallerAbandoned& aAbandoned)
 {
--- a/src/gateway/requests.cpp
+++ b/src/gateway/requests.cpp
@@ -76,6 +76,9 @@
 std::optional<GiveUp>
 checkRoom(const State& aState, const Request& aRequest)
 {
+  if (overloaded(aState)) {
+    return GiveUp{ 503, "event_loop_late", kElsewhereRetry };
+  }
   const auto bytes = aState.heldBytes + aRequest.call.body->size();
   if (aState.requests.size() >= aState.options.maxRequests || bytes > aState.options.maxHeldBytes) {
     return GiveUp{ 503, "overloaded", kOverloadRetry };
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -94,8 +94,9 @@
 /// How late the event loop is.
 struct LoopState
 {
-  Duration delay{ 0 };   ///< at the last tick
-  Duration longest{ 0 }; ///< since the last log line
+  Duration delay{ 0 };     ///< at the last tick
+  Duration sustained{ 0 }; ///< the shorter one of the last two; a single pause does not count
+  Duration longest{ 0 };   ///< since the last log line
   std::uint64_t requestsAtLog = 0;
   TimePoint loggedAt;
 };
@@ -153,6 +154,9 @@
 
 void
 onLoopDelay(State& aState, Duration aDelay);
+/// @return whether requests that are read now would be served late, so that another gateway should get them
+bool
+overloaded(const State& aState) noexcept;
 void
 onCallerAbandoned(State& aState, const CallerAbandoned& aAbandoned);
 
