--- a/tests/gateway/streams_test.cpp
+++ b/tests/gateway/streams_test.cpp
@@ -70,6 +70,25 @@
   CHECK_EQUAL(1U, fleet.take<ReplyEnd>().size());
 }
 
+// Guards against slow but sound streams that are cut, and against stalled ones that never end because a byte comes now
+// and then.
+TEST(GatewayStreams, endsATricklingStreamAtItsTimeoutAndNotBefore)
+{
+  fleet.call("/review/1", 100, 50, Duration{ 60'000 });
+  const auto call = fleet.takeOne<StartCall>();
+  fleet.head(call.exchange, 200, true);
+  fleet.handle(UpstreamData{ call.exchange, Fixture::event(1) + "id: 2\ndata: " });
+  for (int second = 0; second < 3; ++second) {
+    fleet.tick(Duration{ 1000 });
+    fleet.handle(UpstreamData{ call.exchange, "x" });
+    CHECK(fleet.take<ReplyAbort>().empty());
+  }
+  fleet.tick(Duration{ 1000 });
+  CHECK_EQUAL(1U, fleet.take<ReplyAbort>().size());
+  CHECK(fleet.takeOne<CancelCall>().exchange == call.exchange);
+  STRCMP_EQUAL(Fixture::event(1).c_str(), passedOn().c_str());
+}
+
 // Guards against joining a run that begins at another event.
 TEST(GatewayStreams, refusesAResumeAtAnotherEvent)
 {
--- a/tests/platform/request_headers_test.cpp
+++ b/tests/platform/request_headers_test.cpp
@@ -143,6 +143,9 @@
   CHECK_FALSE(decodeHead({}, "q1", { 503, "", { { "X-Not-Executed", "1" }, { "X-Request-Id", "q9" } } }).notRun);
   CHECK_FALSE(decodeHead({}, "q1", { 503, "", {} }).notRun);
   CHECK(decodeHead({}, "q1", { 421, "", {} }).otherInstance);
+  CHECK(decodeHead({}, "q1", { 421, "", { { "X-Request-Id", "q1" } } }).otherInstance);
+  // A second copy of an answer, late, on a connection that is in use again: an order would run twice.
+  CHECK_FALSE(decodeHead({}, "q1", { 421, "", { { "X-Request-Id", "q9" } } }).otherInstance);
 }
 
 // Guards against a caller being told to come back at once because part of a second was cut off.
