Evacuate data centres on the operators' order

The platform of the shifted Great Lakes asks for evacuations; the order was answered 404. Gateways are told at once and with each answer; they keep the one of the highest log index, so that a leader that was cut off takes nothing back.

--- a/include/rhubarbarch/controller/events.h
+++ b/include/rhubarbarch/controller/events.h
@@ -89,6 +89,13 @@
 struct ShowRouting
 {};
 
+/// Send no new work to the upstreams of a data centre, or take that back.
+struct Evacuate
+{
+  DataCentre dataCentre;
+  bool evacuated = true;
+};
+
 using Operation = std::variant<ApplyPlans,
                                ApplyUses,
                                ShowLists,
@@ -98,7 +105,8 @@
                                ShowPlan,
                                ExplainRequest,
                                PutRouting,
-                               ShowRouting>;
+                               ShowRouting,
+                               Evacuate>;
 
 /// A parsed operator request.
 struct OperatorRequest
--- a/include/rhubarbarch/controller/options.h
+++ b/include/rhubarbarch/controller/options.h
@@ -6,6 +6,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <vector>
 
 namespace rhubarbarch::controller {
 
@@ -73,6 +74,7 @@
   SessionOptions sessions;
   MoveOptions moves;
   GatewayOptions gateways;
+  std::vector<DataCentre> dataCentres; ///< of the deployment; empty: not known, so that any name is taken
   std::size_t snapshotEntries = 4096;
   Duration explainTime{ 1000 };    ///< how long answers to an explain request are gathered
   Duration expirePeriod{ 60'000 }; ///< how often old claims are looked for
--- a/include/rhubarbarch/settings/settings.h
+++ b/include/rhubarbarch/settings/settings.h
@@ -109,7 +109,8 @@
 {
   InstanceId instance;
   DataCentre dataCentre;
-  std::string dataFolder; ///< controllers only
+  std::vector<DataCentre> dataCentres; ///< all of the deployment; empty: not known
+  std::string dataFolder;              ///< controllers only
   bool router = false;
   bool agent = false;
   bool controller = false;
--- /dev/null
+++ b/include/rhubarbarch/state/evacuations.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "rhubarbarch/base/ids.h"
+#include "rhubarbarch/wire/json_fields.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace rhubarbarch::state {
+
+/// The data centres whose upstreams get no new work.
+struct Evacuations
+{
+  std::vector<DataCentre> dataCentres; ///< sorted
+  LogIndex changedAt{};                ///< index of the entry that last changed them; zero: none did
+};
+
+/// Command: evacuate a data centre, or take its evacuation back.
+struct SetEvacuation
+{
+  DataCentre dataCentre;
+  bool evacuated = true;
+};
+
+enum class EvacuationOutcome : std::uint8_t
+{
+  kChanged,
+  kRepeated ///< was so already
+};
+
+/// Applies a committed command.
+/// @param aIndex index of its log entry
+/// @return its outcome. Usage: `apply(evacuations, { "lakes-a", true }, index)`.
+EvacuationOutcome
+apply(Evacuations& aEvacuations, const SetEvacuation& aCommand, LogIndex aIndex);
+
+RHUBARBARCH_DECLARE_FIELDS(Evacuations)
+RHUBARBARCH_DECLARE_FIELDS(SetEvacuation)
+
+} // namespace rhubarbarch::state
--- a/include/rhubarbarch/state/replicated_state.h
+++ b/include/rhubarbarch/state/replicated_state.h
@@ -3,6 +3,7 @@
 #include "rhubarbarch/base/error.h"
 #include "rhubarbarch/state/allowances.h"
 #include "rhubarbarch/state/claims.h"
+#include "rhubarbarch/state/evacuations.h"
 #include "rhubarbarch/state/ledger.h"
 #include "rhubarbarch/state/lists.h"
 #include "rhubarbarch/state/moves.h"
@@ -26,6 +27,7 @@
   Moves moves;
   RoutingState routing;
   Allowances allowances;
+  Evacuations evacuations;
 };
 
 /// Every command of the replicated log. Commands hold all times; applying them reads no clock.
@@ -51,7 +53,8 @@
                              StoreRouting,
                              OpenGateway,
                              ReportAllowances,
-                             ReportBatch>;
+                             ReportBatch,
+                             SetEvacuation>;
 
 /// What a command changed, for the answer to whoever sent it.
 using Outcome = std::variant<std::monostate,
@@ -62,7 +65,8 @@
                              ClaimOutcome,
                              MoveOutcome,
                              RoutingOutcome,
-                             GatewayOutcome>;
+                             GatewayOutcome,
+                             EvacuationOutcome>;
 
 /// Applies a committed command. The result depends on nothing but the arguments.
 /// @param aState state after all entries before `aIndex`
--- a/src/controller/controllers.h
+++ b/src/controller/controllers.h
@@ -80,7 +80,7 @@
 answerGateway(Context& aContext, const Address& aTo, const GatewayPoll& aPoll);
 /// Tells all gateways of a document that was just committed.
 void
-announceRouting(Context& aContext);
+announceToGateways(Context& aContext);
 
 /// Operators: lists, moves and views. A view waits for a quorum-confirmed read, so that an operator never sees a list
 /// older than one already accepted.
--- a/src/controller/gateways.cpp
+++ b/src/controller/gateways.cpp
@@ -334,6 +334,8 @@
   answer.session = aPoll.session;
   answer.routingVersion = aContext.state.routing.table.version;
   answer.hasOthersUse = false;
+  answer.evacuationsRevision = toNumber(aContext.state.evacuations.changedAt);
+  answer.evacuated = aContext.state.evacuations.dataCentres;
   answer.gateways = static_cast<std::uint32_t>(std::ranges::count_if(aContext.memory.gateways, [&](const auto& aItem) {
     return known(aContext, aItem.first, aContext.options.gateways.lost);
   }));
@@ -506,7 +508,7 @@
 }
 
 void
-announceRouting(Context& aContext)
+announceToGateways(Context& aContext)
 {
   for (const auto& [session, gateway] : aContext.memory.gateways) {
     if (known(aContext, session, aContext.options.gateways.lost)) {
--- a/src/controller/operators.cpp
+++ b/src/controller/operators.cpp
@@ -145,7 +145,7 @@
     return;
   }
   if (aOutcome == state::RoutingOutcome::kStored) {
-    announceRouting(aContext);
+    announceToGateways(aContext);
   }
   reply(aContext, aId, 200, { { "version", held } });
 }
@@ -161,6 +161,37 @@
     aId);
 }
 
+void
+answerEvacuation(Context& aContext, OperatorId aId, const Evacuate& aOperation, state::EvacuationOutcome aOutcome)
+{
+  log(aContext,
+      "evacuation_put",
+      { { "data_centre", aOperation.dataCentre },
+        { "evacuated", aOperation.evacuated },
+        { "changed", aOutcome == state::EvacuationOutcome::kChanged },
+        { "in_force", aContext.state.evacuations.dataCentres } });
+  if (aOutcome == state::EvacuationOutcome::kChanged) {
+    announceToGateways(aContext);
+  }
+  reply(aContext, aId, 200, { { "evacuated", aContext.state.evacuations.dataCentres } });
+}
+
+void
+run(Context& aContext, OperatorId aId, const Evacuate& aOperation)
+{
+  const auto& known = aContext.options.dataCentres;
+  if (!known.empty() && std::ranges::find(known, aOperation.dataCentre) == known.end()) {
+    replyError(aContext, aId, 400, "invalid", "no data centre '" + aOperation.dataCentre + "'");
+    return;
+  }
+  aContext.proposer.propose(
+    state::SetEvacuation{ aOperation.dataCentre, aOperation.evacuated },
+    [aId, operation = aOperation](Context& aDone, const state::Outcome& aOutcome) {
+      answerEvacuation(aDone, aId, operation, std::get<state::EvacuationOutcome>(aOutcome));
+    },
+    aId);
+}
+
 void
 run(Context& aContext, OperatorId aId, const ShowRouting& /*aOperation*/)
 {
--- a/src/daemon/role_options.cpp
+++ b/src/daemon/role_options.cpp
@@ -62,6 +62,7 @@
   options.replica.controllers = controllerNames(aSettings);
   options.replica.bootstrap = aSettings.controllerSettings.bootstrap;
   options.replica.openMembership = aSettings.controllerSettings.openMembership;
+  options.dataCentres = aSettings.dataCentres;
   options.gateways.readUpstreams = aSettings.upstreamList.has_value();
   options.moves.loadTime = aSettings.controllerSettings.versionLoadTime;
   options.moves.parallelLoads = static_cast<std::int32_t>(aSettings.controllerSettings.parallelLoads);
--- a/src/gateway/control.cpp
+++ b/src/gateway/control.cpp
@@ -185,6 +185,17 @@
     aState, Severity::kInfo, "routing_in_force", { { "version", aTable.version }, { "routes", aTable.routes.size() } });
 }
 
+void
+adoptEvacuations(State& aState, const GatewayState& aAnswer)
+{
+  if (applyEvacuations(aState.upstreams, aAnswer.evacuated, aAnswer.evacuationsRevision)) {
+    log(aState,
+        Severity::kInfo,
+        "evacuations_in_force",
+        { { "revision", aAnswer.evacuationsRevision }, { "evacuated", aAnswer.evacuated } });
+  }
+}
+
 void
 endSession(State& aState)
 {
@@ -222,6 +233,7 @@
   link.answered = std::max(link.answered, aAnswer.number);
   link.gateways = std::max<std::uint32_t>(aAnswer.gateways, 1);
   adoptControllers(aState, aAnswer.controllers);
+  adoptEvacuations(aState, aAnswer);
   const bool first = !aState.index;
   if (aAnswer.hasRouting) {
     adoptRouting(aState, aAnswer.routing);
--- a/src/gateway/upstreams.cpp
+++ b/src/gateway/upstreams.cpp
@@ -44,12 +44,27 @@
     upstream.entry = entry;
     upstream.entry.leaving = leaving;
     upstream.listed = true;
+    upstream.evacuated = aUpstreams.evacuated.contains(entry.dataCentre);
   }
   aUpstreams.listedAt = aReadAt;
   aUpstreams.received = true;
   forgetGone(aUpstreams);
 }
 
+bool
+applyEvacuations(Upstreams& aUpstreams, const std::vector<DataCentre>& aDataCentres, std::uint64_t aRevision)
+{
+  if (aRevision <= aUpstreams.evacuationsRevision) {
+    return false;
+  }
+  aUpstreams.evacuationsRevision = aRevision;
+  aUpstreams.evacuated = { aDataCentres.begin(), aDataCentres.end() };
+  for (auto& [id, upstream] : aUpstreams.byId) {
+    upstream.evacuated = aUpstreams.evacuated.contains(upstream.entry.dataCentre);
+  }
+  return true;
+}
+
 void
 applyOthers(Upstreams& aUpstreams, const std::vector<UpstreamUse>& aUses)
 {
@@ -122,7 +137,7 @@
 bool
 usable(const Upstream& aUpstream) noexcept
 {
-  return aUpstream.listed && !aUpstream.entry.leaving;
+  return aUpstream.listed && !aUpstream.entry.leaving && !aUpstream.evacuated;
 }
 
 void
--- a/src/gateway/upstreams.h
+++ b/src/gateway/upstreams.h
@@ -6,6 +6,7 @@
 #include "rhubarbarch/wire/gateway_messages.h"
 
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -16,6 +17,7 @@
 {
   UpstreamEntry entry;
   bool listed = true;             ///< false: no longer in the platform's list
+  bool evacuated = false;         ///< its data centre gets no new calls
   std::int64_t running = 0;       ///< calls of this gateway whose answer has not ended
   Tokens prefillTokens = 0;       ///< of its calls without a first event
   std::int64_t othersRunning = 0; ///< of all other gateways, as the leader last said
@@ -35,6 +37,8 @@
   std::uint64_t revision = 0; ///< of the list, as the leader names it; zero: read by this gateway itself
   TimePoint listedAt;         ///< when the platform was read
   bool received = false;
+  std::set<DataCentre> evacuated; ///< their upstreams get no new calls
+  std::uint64_t evacuationsRevision = 0;
 };
 
 /// Takes a list as a whole. Upstreams that are missing get no new calls and are forgotten once theirs have ended.
@@ -68,7 +72,12 @@
 void
 decay(Upstream& aUpstream, TimePoint aNow);
 
-/// An upstream may take calls: it is listed and not leaving.
+/// Takes the data centres to evacuate, unless a later revision is held: a leader that was cut off may still answer.
+/// @return whether they changed
+bool
+applyEvacuations(Upstreams& aUpstreams, const std::vector<DataCentre>& aDataCentres, std::uint64_t aRevision);
+
+/// An upstream may take calls: it is listed, not leaving, and not in a data centre that is evacuated.
 bool
 usable(const Upstream& aUpstream) noexcept;
 
--- a/src/state/replicated_state.cpp
+++ b/src/state/replicated_state.cpp
@@ -17,7 +17,7 @@
   "SetPlans",    "SetUses",      "OpenSession", "FenceRouter",      "ReportFence", "SetLeaving",
   "MarkDrained", "RemoveAgent",  "MarkSettled", "IssueGrant",       "ReturnGrant", "ChargeGrant",
   "SettleGrant", "TakeClaim",    "UpdateClaim", "ExpireClaims",     "AddMove",     "StepMove",
-  "RaiseFence",  "StoreRouting", "OpenGateway", "ReportAllowances", "ReportBatch"
+  "RaiseFence",  "StoreRouting", "OpenGateway", "ReportAllowances", "ReportBatch", "SetEvacuation"
 };
 
 using CommandDecoder = Command (*)(const nlohmann::json&);
@@ -114,6 +114,12 @@
   }
 }
 
+EvacuationOutcome
+apply(ReplicatedState& aState, const SetEvacuation& aCommand, LogIndex aIndex)
+{
+  return apply(aState.evacuations, aCommand, aIndex);
+}
+
 } // namespace
 
 Outcome
@@ -170,6 +176,7 @@
   json["moves"] = aState.moves;
   json["routing"] = aState.routing;
   json["allowances"] = aState.allowances;
+  json["evacuations"] = aState.evacuations;
   return toCbor(json);
 }
 
@@ -185,9 +192,10 @@
     state.sessions = json.at("sessions").get<Sessions>();
     state.claims = json.at("claims").get<Claims>();
     state.moves = json.at("moves").get<Moves>();
-    // Snapshots of earlier versions hold neither.
+    // Snapshots of earlier versions hold none of these.
     state.routing = json.value("routing", RoutingState{});
     state.allowances = json.value("allowances", Allowances{});
+    state.evacuations = json.value("evacuations", Evacuations{});
     rebuildIndexes(state.ledger);
     return state;
   } catch (const nlohmann::json::exception& error) {
--- a/src/wire/gateway_messages.cpp
+++ b/src/wire/gateway_messages.cpp
@@ -38,6 +38,8 @@
                           othersUse,
                           plans,
                           controllers,
-                          gateways)
+                          gateways,
+                          evacuationsRevision,
+                          evacuated)
 
 } // namespace rhubarbarch
--- a/tests/controller/gateways_test.cpp
+++ b/tests/controller/gateways_test.cpp
@@ -81,6 +81,45 @@
   CHECK_EQUAL(4, applyDelta(tableOf(3, 1000), states.back().routingDelta).version);
 }
 
+// Guards against an evacuation that gateways hear of with their next poll only, and against one of a data centre that
+// the deployment does not have.
+TEST(GatewaysController, announcesAnEvacuationAtOnce)
+{
+  put(3, 1000);
+  poll(kFirst);
+  polls[kFirst].routingVersion = 3;
+  CHECK(poll(kFirst).evacuated.empty());
+  const auto before = fleet.received<GatewayState>(kFirst).size();
+  CHECK_EQUAL(200, fleet.answered(controller::Evacuate{ "a", true }).httpStatus);
+  const auto told = fleet.received<GatewayState>(kFirst).at(before);
+  CHECK((told.evacuated == std::vector<DataCentre>{ "a" }));
+  CHECK(told.evacuationsRevision > 0);
+  CHECK_EQUAL(200, fleet.answered(controller::Evacuate{ "a", true }).httpStatus);
+  CHECK_EQUAL(told.evacuationsRevision, poll(kFirst).evacuationsRevision);
+  CHECK_EQUAL(200, fleet.answered(controller::Evacuate{ "a", false }).httpStatus);
+  CHECK(poll(kFirst).evacuated.empty());
+}
+
+// Guards against a mistyped data centre being acknowledged as evacuated.
+TEST(GatewaysController, refusesToEvacuateAnUnknownDataCentre)
+{
+  controller::ControllerOptions options;
+  options.dataCentres = { "a", "b" };
+  ControllerHarness other(1, options);
+  CHECK_EQUAL(400, other.answered(controller::Evacuate{ "c", true }).httpStatus);
+  CHECK_EQUAL(200, other.answered(controller::Evacuate{ "b", true }).httpStatus);
+}
+
+// Guards against an acknowledged evacuation being lost with the leader that acknowledged it.
+TEST(GatewaysController, keepsAnEvacuationOverALostLeader)
+{
+  ControllerHarness three(3);
+  CHECK_EQUAL(200, three.answered(controller::Evacuate{ "a", true }).httpStatus);
+  three.cut.insert(three.leader());
+  three.run(Duration{ 5000 });
+  CHECK((three.state().evacuations.dataCentres == std::vector<DataCentre>{ "a" }));
+}
+
 // Load pattern: a document of many routes that changes in one. Guards against all routes being sent to all gateways on
 // each change, which took longer than the time in which a change must be in force (large Great Lakes, trouble-3: 1,512
 // routes more), and against the document being sent again while it is on its way.
--- a/tests/gateway/control_test.cpp
+++ b/tests/gateway/control_test.cpp
@@ -157,3 +157,51 @@
   fleet.tick();
   CHECK_EQUAL(1U, fleet.take<Stopped>().size());
 }
+
+// Guards against work that reaches the upstreams of a data centre after its evacuation was acknowledged.
+TEST(GatewayControl, sendsNothingToAnEvacuatedDataCentre)
+{
+  fleet.start();
+  auto state = fleet.state();
+  state.evacuationsRevision = 9;
+  state.evacuated = { "a" };
+  fleet.handle(PeerMessage{ { kLeader, Role::kController }, state });
+  fleet.takeAll();
+  for (int call = 0; call < 8; ++call) {
+    fleet.call("/stock/1");
+    STRCMP_EQUAL("d2", fleet.takeOne<StartCall>().upstreamId.c_str());
+    fleet.call("/review/1", 100, 50);
+    STRCMP_EQUAL("e2", fleet.takeOne<StartCall>().upstreamId.c_str());
+  }
+}
+
+// Guards against a leader that was cut off taking an evacuation back, and against an evacuation that a new list undoes.
+TEST(GatewayControl, keepsTheLatestEvacuations)
+{
+  fleet.start();
+  auto state = fleet.state();
+  state.evacuationsRevision = 9;
+  state.evacuated = { "a" };
+  fleet.handle(PeerMessage{ { kLeader, Role::kController }, state });
+  state.evacuationsRevision = 4;
+  state.evacuated = {};
+  state.upstreamsRevision = 2;
+  fleet.handle(PeerMessage{ { kOther, Role::kController }, state });
+  fleet.takeAll();
+  fleet.call("/stock/1");
+  STRCMP_EQUAL("d2", fleet.takeOne<StartCall>().upstreamId.c_str());
+  state.evacuationsRevision = 12;
+  state.evacuated = { "a", "b" };
+  fleet.handle(PeerMessage{ { kLeader, Role::kController }, state });
+  fleet.takeAll();
+  fleet.call("/stock/2");
+  const auto refusal = fleet.takeOne<ReplyHead>();
+  CHECK_EQUAL(503, refusal.httpStatus);
+  CHECK(refusal.retryAfter > Duration{ 0 });
+  state.evacuationsRevision = 13;
+  state.evacuated = {};
+  fleet.handle(PeerMessage{ { kLeader, Role::kController }, state });
+  fleet.takeAll();
+  fleet.call("/stock/3");
+  CHECK_EQUAL(1U, fleet.take<StartCall>().size());
+}
