--- a/include/rhubarbarch/net/http_server.h
+++ b/include/rhubarbarch/net/http_server.h
@@ -41,7 +41,7 @@
   std::function<void(LogLine&&)> log;
   std::function<bool()> congested; ///< true: hold new requests back
   /// Gets requests whose callers closed the connection before they were read; without it these are passed on, too.
-  std::function<void(router::CallerRequest&&)> abandoned{};
+  std::function<void(router::CallerRequest&&)> abandoned;
 };
 
 /// HTTP/1.1 server with keep-alive. Pipelined requests are handled one at a time, in order. All calls on the thread of
--- a/src/net/operator_server.cpp
+++ b/src/net/operator_server.cpp
@@ -40,7 +40,8 @@
                [](const router::CallerDrained&) {},
                [this](const router::CallerGone& aGone) { waiting.erase(static_cast<OperatorId>(aGone.caller)); },
                [this](LogLine&& aLine) { events.log(std::move(aLine)); },
-               [] { return false; } })
+               [] { return false; },
+               {} })
   {
   }
 
--- a/tests/platform/node_file_test.cpp
+++ b/tests/platform/node_file_test.cpp
@@ -37,6 +37,14 @@
   CHECK(settings.upstreamList.has_value());
 }
 
+// Guards against processes that end at each start: the zones of the file were read after they had been destroyed.
+TEST(NodeFile, decodesTheZones)
+{
+  node["Zones"] = { { "lakes-b", "lakes" }, { "lakes-a", "lakes" } };
+  const auto settings = decodeNodeFile(node.dump()).value();
+  CHECK((settings.dataCentres == std::vector<DataCentre>{ "lakes-a", "lakes-b" }));
+}
+
 // Guards against a controller whose name is not the endpoint at which others look for it.
 TEST(NodeFile, decodesAController)
 {
