--- a/benchmark/gateway/main.cpp
+++ b/benchmark/gateway/main.cpp
@@ -47,7 +47,9 @@
 {
   rusage usage{};
   getrusage(aWho, &usage);
-  const auto seconds = [](const timeval& aTime) { return static_cast<double>(aTime.tv_sec) + aTime.tv_usec * 1e-6; };
+  const auto seconds = [](const timeval& aTime) {
+    return static_cast<double>(aTime.tv_sec) + static_cast<double>(aTime.tv_usec) * 1e-6;
+  };
   return Seconds(seconds(usage.ru_utime) + seconds(usage.ru_stime));
 }
 
@@ -249,6 +251,7 @@
   const auto before = processorTime(RUSAGE_SELF) - upstream.time();
   const auto started = std::chrono::steady_clock::now();
   std::vector<std::future<Seconds>> callers;
+  callers.reserve(static_cast<std::size_t>(FLAGS_callers));
   for (int number = 0; number < FLAGS_callers; ++number) {
     callers.push_back(std::async(std::launch::async, [&left] { return Caller(left).run(); }));
   }
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -60,8 +60,7 @@
     for (; waiting < kMaxAcceptBatch; ++waiting) {
       boost::system::error_code error;
       tcp::socket socket(context);
-      acceptor.accept(socket, error);
-      if (error) {
+      if (acceptor.accept(socket, error)) {
         break;
       }
       admit(std::move(socket));
--- a/tests/net/log_writer_test.cpp
+++ b/tests/net/log_writer_test.cpp
@@ -82,12 +82,13 @@
 // Guards against lines of several threads that wait in the ring until the next one comes, or are lost.
 TEST(LogBatches, losesNoLineBetweenBatches)
 {
-  constexpr int kThreads = 4;
-  constexpr int kLines = 200;
+  constexpr std::size_t kThreads = 4;
+  constexpr std::size_t kLines = 200;
   std::vector<std::thread> threads;
-  for (int thread = 0; thread < kThreads; ++thread) {
+  threads.reserve(kThreads);
+  for (std::size_t thread = 0; thread < kThreads; ++thread) {
     threads.emplace_back([this] {
-      for (int line = 0; line < kLines; ++line) {
+      for (std::size_t line = 0; line < kLines; ++line) {
         log->write({ line % 2 == 0 ? Severity::kInfo : Severity::kWarning, "event", {} });
         std::this_thread::sleep_for(std::chrono::microseconds(300));
       }
@@ -98,7 +99,7 @@
   while (output.lines().size() < kThreads * kLines && std::chrono::steady_clock::now() < end) {
     std::this_thread::sleep_for(std::chrono::milliseconds(5));
   }
-  CHECK_EQUAL(kThreads * kLines, static_cast<int>(output.lines().size()));
+  CHECK_EQUAL(kThreads * kLines, output.lines().size());
 }
 
 // Guards against long lines that glog would cut in the middle.
