Log the rate limits that upstreams name and the calls sent to them

Gateways now decode the field and log upstream_limit_named, upstream_limit_removed, and limited_call for each call to an upstream with a limit, retries included. No decision changes.

RequestHeaders.decodesTheRateLimitOfAnUpstream covers the decoding, with text that is no rate.

--- a/include/rhubarbarch/gateway/events.h
+++ b/include/rhubarbarch/gateway/events.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -72,11 +73,12 @@
 {
   ExchangeId exchange{};
   std::int32_t status = 0;
-  HttpFields fields;          ///< header fields to forward
-  bool genuine = false;       ///< carries the upstream's signature and the request id
-  bool notRun = false;        ///< the upstream states that it did not run the request
-  bool otherInstance = false; ///< the address belongs to an instance other than the expected one
-  bool leaving = false;       ///< the upstream accepts no further requests on this connection
+  HttpFields fields;                    ///< header fields to forward
+  bool genuine = false;                 ///< carries the upstream's signature and the request id
+  bool notRun = false;                  ///< the upstream states that it did not run the request
+  bool otherInstance = false;           ///< the address belongs to an instance other than the expected one
+  bool leaving = false;                 ///< the upstream accepts no further requests on this connection
+  std::optional<double> callsPerSecond; ///< rate limit that it names for the calls of all callers together
 };
 
 struct UpstreamData
--- a/src/gateway/attempts.cpp
+++ b/src/gateway/attempts.cpp
@@ -119,6 +119,21 @@
         { "retries", aRetries } });
 }
 
+/// Logs each change of the rate limit that an upstream names in its answers.
+void
+recordNamedLimit(State& aState, Upstream& aUpstream, const UpstreamHead& aHead)
+{
+  const bool first = aHead.callsPerSecond && !aUpstream.limit.callsPerSecond;
+  const bool removed = !aHead.callsPerSecond && aUpstream.limit.callsPerSecond;
+  aUpstream.limit.callsPerSecond = aHead.callsPerSecond;
+  if (first || removed) {
+    log(aState,
+        Severity::kInfo,
+        first ? "upstream_limit_named" : "upstream_limit_removed",
+        { { "upstream", aUpstream.entry.id }, { "calls_per_second", aHead.callsPerSecond.value_or(0) } });
+  }
+}
+
 /// Fails the current attempt and starts another one, or fails the request if no further attempt is allowed.
 /// @param aMayHaveRun whether the upstream may have run the request
 /// @param aReceived whether the upstream received the request
@@ -217,6 +232,15 @@
   aRequest.attempt = std::make_unique<Attempt>(std::move(attempt));
   ++aRequest.sends;
   ++aRequest.mayHaveRun;
+  if (upstream.limit.callsPerSecond) {
+    log(aState,
+        Severity::kInfo,
+        "limited_call",
+        { { "request", aRequest.call.requestId },
+          { "upstream", upstream.entry.id },
+          { "sends", aRequest.sends },
+          { "calls_per_second", *upstream.limit.callsPerSecond } });
+  }
   aState.actions.emplace_back(makeCall(aState, aRequest, upstream));
 }
 
@@ -259,6 +283,9 @@
     failAttempt(aState, *request, "other instance at the address", false, true);
     return;
   }
+  if (upstream != nullptr && (aHead.genuine || aHead.notRun)) {
+    recordNamedLimit(aState, *upstream, aHead);
+  }
   if (aHead.notRun) {
     failAttempt(
       aState, *request, "upstream refused the request with status " + std::to_string(aHead.status), false, true);
--- a/src/gateway/upstreams.h
+++ b/src/gateway/upstreams.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "call_limit.h"
 #include "prompt_cache.h"
 
 #include "rhubarbarch/base/time.h"
@@ -29,6 +30,7 @@
   double slowness = 1;  ///< engines: smoothed ratio of measured to expected times
   double latencyMs = 0; ///< plain services: smoothed time of a call; zero: not measured yet
   TimePoint decayedAt;
+  CallLimit limit;
 };
 
 struct Upstreams
--- a/tests/platform/request_headers_test.cpp
+++ b/tests/platform/request_headers_test.cpp
@@ -136,6 +136,20 @@
   CHECK_FALSE(decodeHead({}, "q1", { 200, "", encoded }).genuine);
 }
 
+// Guards against a rate limit being missed, and against other text being taken for one.
+TEST(RequestHeaders, decodesTheRateLimitOfAnUpstream)
+{
+  const auto limitOf = [](const char* aText) {
+    return decodeHead({}, "q1", { 200, "", { { "X-Request-Id", "q1" }, { "server-limit", aText } } }).callsPerSecond;
+  };
+  DOUBLES_EQUAL(2.7, limitOf("2.7").value(), 0.0001);
+  DOUBLES_EQUAL(0, limitOf("0").value(), 0.0001);
+  CHECK_FALSE(decodeHead({}, "q1", { 200, "", {} }).callsPerSecond.has_value());
+  for (const auto* text : { "", "-1", "2.7 or so", "nan", "inf", "1e999" }) {
+    CHECK_FALSE(limitOf(text).has_value());
+  }
+}
+
 // Guards against "not run" being believed of an answer to another request, and against it being missed.
 TEST(RequestHeaders, decodesProofsOfNotRunning)
 {
