--- /dev/null
+++ b/tests/support/gateway_fleet.h
@@ -0,0 +1,313 @@
+#pragma once
+
+// CppUTest replaces operator new by macro, so the standard and project headers come first.
+#include "controller_harness.h"
+
+#include "rhubarbarch/gateway/gateway_role.h"
+
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace rhubarbarch::testing {
+
+/// Three controllers, gateways and engines of one service on a virtual clock. Callers come to each gateway at random
+/// times; an engine answers a call after its service time with one event.
+class GatewayFleet
+{
+public:
+  struct Arrival
+  {
+    TimePoint at;
+    std::size_t gateway = 0;
+  };
+
+  struct Engine
+  {
+    UpstreamEntry entry;
+    std::optional<double> callsPerSecond; ///< named in each answer
+    std::vector<Arrival> arrivals;
+    std::map<std::size_t, TimePoint> toldAt; ///< when a gateway first got an answer that names the limit
+  };
+
+  struct Reply
+  {
+    TimePoint at;
+    std::int32_t status = 0;
+    Duration retryAfter{ 0 };
+    Duration waited{ 0 };
+  };
+
+  GatewayFleet(std::size_t aGateways, std::size_t aEngines, std::uint64_t aSeed)
+    : controllers(3, controllerOptions())
+    , mRandom(aSeed)
+  {
+    for (std::size_t i = 0; i < aEngines; ++i) {
+      const auto name = std::to_string(i);
+      Engine engine;
+      engine.entry = { "e" + name, "engine", "10.1.0." + name + ":80", "a", "v1", 64, 0, false };
+      engines.push_back(std::move(engine));
+    }
+    controllers.operate(controller::PutRouting{ table(), "source", "digest" });
+    for (std::size_t i = 0; i < aGateways; ++i) {
+      addGateway();
+    }
+    run(Duration{ 1000 });
+  }
+
+  void addGateway()
+  {
+    const auto index = gateways.size();
+    gateway::GatewayOptions options;
+    options.instance = "g" + std::to_string(index);
+    options.dataCentre = "a";
+    options.endpoint = options.instance + ":7000";
+    options.controllers = { "c1", "c2", "c3" };
+    options.retryRatio = 0.2;
+    options.retrySlack = 60;
+    Gateway gateway;
+    gateway.address = { options.instance, Role::kRouter };
+    gateway.role = std::make_unique<gateway::GatewayRole>(options, Boot{ index + 1 }, std::mt19937_64(mRandom()));
+    gateways.push_back(std::move(gateway));
+  }
+
+  /// Lets time pass, tick by tick.
+  void run(Duration aTime)
+  {
+    for (const auto end = controllers.now + aTime; controllers.now < end;) {
+      controllers.run(kTickPeriod);
+      if (controllers.now.time_since_epoch() % kListPeriod == Duration{ 0 }) {
+        readList();
+      }
+      answerCalls();
+      for (std::size_t i = 0; i < gateways.size(); ++i) {
+        receive(i, controllers.leader());
+        if (!gateways[i].frozen) {
+          callers(i);
+          handle(i, gateway::Tick{});
+        }
+      }
+    }
+  }
+
+  /// Cuts a gateway off from all controllers, or connects it again.
+  void cutOff(std::size_t aGateway, bool aCut) { gateways[aGateway].cut = aCut; }
+  /// Stops a gateway as a suspended machine would be, or lets it go on.
+  void freeze(std::size_t aGateway, bool aFrozen) { gateways[aGateway].frozen = aFrozen; }
+  /// Cuts the leader off from everyone, or connects all controllers again.
+  void cutLeader() { controllers.cut.insert(controllers.leader()); }
+  void healControllers() { controllers.cut.clear(); }
+
+  /// @return the most calls that an engine got in a window of `aWindow` that ends in `[aFrom, aUntil]`, from gateways
+  /// that had got an answer with its limit at least `aTold` before; every gateway when `aTold` is empty
+  static std::size_t mostArrivals(const Engine& aEngine,
+                                  Duration aWindow,
+                                  TimePoint aFrom,
+                                  std::optional<Duration> aTold)
+  {
+    std::deque<TimePoint> window;
+    std::size_t most = 0;
+    for (const auto& arrival : aEngine.arrivals) {
+      const auto told = aEngine.toldAt.find(arrival.gateway);
+      if (aTold && (told == aEngine.toldAt.end() || arrival.at - told->second < *aTold)) {
+        continue;
+      }
+      window.push_back(arrival.at);
+      while (window.front() + aWindow <= arrival.at) {
+        window.pop_front();
+      }
+      if (arrival.at >= aFrom) {
+        most = std::max(most, window.size());
+      }
+    }
+    return most;
+  }
+
+  static std::size_t arrivalsBetween(const Engine& aEngine, TimePoint aFrom, TimePoint aUntil)
+  {
+    return static_cast<std::size_t>(std::ranges::count_if(
+      aEngine.arrivals, [&](const Arrival& aEach) { return aEach.at >= aFrom && aEach.at < aUntil; }));
+  }
+
+  std::size_t repliesWith(std::int32_t aStatus, TimePoint aFrom) const
+  {
+    return static_cast<std::size_t>(
+      std::ranges::count_if(replies, [&](const Reply& aEach) { return aEach.status == aStatus && aEach.at >= aFrom; }));
+  }
+
+  TimePoint now() const { return controllers.now; }
+
+  ControllerHarness controllers;
+  std::vector<Engine> engines;
+  std::vector<Reply> replies;
+  double callsPerSecond = 10; ///< of the callers of each gateway
+  Duration serviceTime{ 100 };
+
+private:
+  static constexpr Duration kListPeriod{ 400 };
+
+  struct Gateway
+  {
+    Address address;
+    std::unique_ptr<gateway::GatewayRole> role;
+    bool cut = false;
+    bool frozen = false;
+    std::map<gateway::CallerId, TimePoint> callers;
+    std::set<gateway::ExchangeId> calls;
+  };
+
+  struct Call
+  {
+    TimePoint answerAt;
+    std::size_t gateway = 0;
+    gateway::ExchangeId exchange{};
+    std::size_t engine = 0;
+  };
+
+  static controller::ControllerOptions controllerOptions()
+  {
+    controller::ControllerOptions options;
+    options.gateways.readUpstreams = true;
+    return options;
+  }
+
+  static RoutingTable table()
+  {
+    Route route;
+    route.name = "chat";
+    route.host = "shop.example";
+    route.pathPrefix = "/";
+    route.kind = CallKind::kStream;
+    route.services = { { "engine", 1 } };
+    route.timeoutMs = 4000;
+    route.targetLatencyMs = 500;
+    route.isPublic = true;
+    RoutingTable table;
+    table.version = 3;
+    table.routes = { route };
+    table.services = { { "engine", "/healthz", 100, true, { 64, 400000, 3 } } };
+    return table;
+  }
+
+  void readList()
+  {
+    std::vector<UpstreamEntry> list;
+    std::ranges::transform(engines, std::back_inserter(list), &Engine::entry);
+    for (auto& [name, role] : controllers.roles) {
+      role->handle(controller::UpstreamsRead{ list }, controllers.now);
+    }
+  }
+
+  void callers(std::size_t aGateway)
+  {
+    const auto mean = callsPerSecond * std::chrono::duration<double>(kTickPeriod).count();
+    for (auto count = std::poisson_distribution<int>(mean)(mRandom); count > 0; --count) {
+      gateway::CallerCall call;
+      call.caller = gateway::CallerId{ ++mCallers };
+      call.requestId = "q" + std::to_string(mCallers);
+      call.method = "POST";
+      call.host = "shop.example";
+      call.target = "/chat/";
+      call.body = std::make_shared<const std::string>("body");
+      call.deadline = Duration{ 4000 };
+      call.promptTokens = 700;
+      call.maxOutputTokens = 10;
+      const auto session = std::to_string(std::uniform_int_distribution<int>(0, 199)(mRandom));
+      call.prompt = { { "s" + session, 500 }, { call.requestId, 200 } };
+      gateways[aGateway].callers[call.caller] = controllers.now;
+      handle(aGateway, call);
+    }
+  }
+
+  void answerCalls()
+  {
+    for (const auto& call : std::exchange(mCalls, {})) {
+      if (call.answerAt > controllers.now || gateways[call.gateway].frozen) {
+        mCalls.push_back(call);
+      } else if (gateways[call.gateway].calls.erase(call.exchange) > 0) {
+        answer(call);
+      }
+    }
+  }
+
+  void answer(const Call& aCall)
+  {
+    auto& engine = engines[aCall.engine];
+    gateway::UpstreamHead head;
+    head.exchange = aCall.exchange;
+    head.status = 200;
+    head.genuine = true;
+    head.fields = { { "Content-Type", "text/event-stream" } };
+    head.callsPerSecond = engine.callsPerSecond;
+    if (engine.callsPerSecond) {
+      engine.toldAt.try_emplace(aCall.gateway, controllers.now);
+    }
+    handle(aCall.gateway, head);
+    handle(aCall.gateway, gateway::UpstreamData{ aCall.exchange, "id: 1\ndata: x\n\n" });
+    handle(aCall.gateway, gateway::UpstreamEnd{ aCall.exchange });
+  }
+
+  void handle(std::size_t aGateway, const gateway::Event& aEvent)
+  {
+    auto& gateway = gateways[aGateway];
+    for (auto& action : gateway.role->handle(aEvent, controllers.now)) {
+      if (auto* sent = std::get_if<gateway::Send>(&action)) {
+        send(aGateway, sent->to, sent->message);
+      } else if (const auto* call = std::get_if<gateway::StartCall>(&action)) {
+        start(aGateway, *call);
+      } else if (const auto* cancel = std::get_if<gateway::CancelCall>(&action)) {
+        gateway.calls.erase(cancel->exchange);
+      } else if (const auto* head = std::get_if<gateway::ReplyHead>(&action)) {
+        const auto since = gateway.callers.extract(head->caller);
+        const auto waited = since.empty() ? Duration{ 0 } : controllers.now - since.mapped();
+        replies.push_back({ controllers.now, head->httpStatus, head->retryAfter, waited });
+      }
+    }
+  }
+
+  void send(std::size_t aGateway, const Address& aTo, const Message& aMessage)
+  {
+    if (gateways[aGateway].cut || aTo.role != Role::kController || controllers.cut.contains(aTo.instance)) {
+      return;
+    }
+    controllers.sendTo(aTo.instance, gateways[aGateway].address, aMessage);
+    receive(aGateway, aTo.instance);
+  }
+
+  void receive(std::size_t aGateway, const InstanceId& aFrom)
+  {
+    auto messages = std::exchange(controllers.inboxes[gateways[aGateway].address], {});
+    if (gateways[aGateway].cut || gateways[aGateway].frozen) {
+      return;
+    }
+    for (auto& message : messages) {
+      handle(aGateway, gateway::PeerMessage{ { aFrom, Role::kController }, std::move(message) });
+    }
+  }
+
+  void start(std::size_t aGateway, const gateway::StartCall& aCall)
+  {
+    const auto found =
+      std::ranges::find_if(engines, [&](const Engine& aEach) { return aEach.entry.id == aCall.upstreamId; });
+    found->arrivals.push_back({ controllers.now, aGateway });
+    gateways[aGateway].calls.insert(aCall.exchange);
+    mCalls.push_back(
+      { controllers.now + serviceTime, aGateway, aCall.exchange, static_cast<std::size_t>(found - engines.begin()) });
+  }
+
+  std::mt19937_64 mRandom;
+  std::uint64_t mCallers = 0;
+  std::vector<Call> mCalls;
+  std::vector<Gateway> gateways;
+};
+
+} // namespace rhubarbarch::testing
--- a/tools/test.sh
+++ b/tools/test.sh
@@ -26,12 +26,25 @@
   fi
 }
 
-# Runs one CppUTest program and counts its tests.
+# Prints the failed tests of the last program that KNOWN-RED.txt lists as `test: GROUP.NAME`.
+known_red_tests() {
+  sed -nE 's/.*error: Failure in TEST\(([A-Za-z0-9_]+), *([A-Za-z0-9_]+)\).*/test: \1.\2/p' "$log/out" |
+    grep -xF -f <(grep -E '^test: ' KNOWN-RED.txt 2>/dev/null) || true
+}
+
+# Runs one CppUTest program and counts its tests. Failures of known red tests are printed and count as neither.
 unit() {
-  local program=$1 ran bad
+  local program=$1 ran bad known
   timeout 900 "$program" -v >"$log/out" 2>&1 || true
   ran=$(grep -cE '^(IGNORE_)?TEST\(' "$log/out" || true)
   bad=$(grep -cE 'error: Failure in' "$log/out" || true)
+  known_red_tests | sed 's/^/known red, /'
+  known=$(known_red_tests | wc -l)
+  if [ "$known" -gt 0 ] && [ "$known" -eq "$bad" ]; then
+    passed=$((passed + ran - bad))
+    echo "$(basename "$program"): $((ran - bad)) passed, 0 failed, $known known red"
+    return
+  fi
   if ! tail -n 3 "$log/out" | grep -qE '^OK \('; then
     [ "$bad" -gt 0 ] || bad=1
     grep -A 8 -E 'error: Failure in|^Errors|terminate|signal' "$log/out" | head -n 80 || tail -n 40 "$log/out"
