Share the rate limit of an upstream among all gateways

Cause: the limit was passed on to callers and used nowhere.

Gateways now report to the leader what an upstream's answers say (limit or no limit, with the age of the answer) and the calls that they want to make. The leader keeps one token bucket per upstream and permits calls in its answers to polls. A permit expires 0.5 s after the poll that requested it was sent, is issued once per poll, and starts from nothing under a new leader; so lost, repeated and late answers, changes of leader and gateways out of touch leave calls unused and never add any. An upstream without a permit takes no part in placement; with no permit at all a request waits up to 350 ms unless the leader has said that the limits are exhausted, and is then refused as not run.

--- a/include/rhubarbarch/controller/options.h
+++ b/include/rhubarbarch/controller/options.h
@@ -64,6 +64,9 @@
   Duration documentPause{ 800 };     ///< before a complete document is sent again: a poll period and a slow transfer
   std::size_t documentsRetained = 8; ///< base versions of deltas; gateways with an older one get the complete document
   Tokens nearEndDivisor = 16;        ///< below 1/divisor of a budget, every answer includes the remaining tokens
+  Duration limitRemovalDelay{ 1000 }; ///< a limit ends once answers without it are this much later than those with it
+  Duration limitRetention{ 5000 };    ///< a limit that no gateway reports for this long is forgotten
+  Duration permitBurst{ 250 };        ///< unused calls of a limit accumulate for this long
 };
 
 /// Settings of the controller role.
--- a/include/rhubarbarch/gateway/options.h
+++ b/include/rhubarbarch/gateway/options.h
@@ -54,6 +54,10 @@
   Duration minLoggedDelay{ 100 };  ///< a delay of the event loop from this value is logged
   Duration delayLogPeriod{ 1000 }; ///< at most one such log line per period
 
+  // Rate limits of upstreams
+  Duration permitTime{ 500 };    ///< from the poll that requested a call; a few polls
+  Duration maxPermitWait{ 350 }; ///< longest wait for a permit while the leader has not refused one
+
   // Shutdown
   Duration minDrainTime{ 2500 };       ///< a balancer that checks once a second removes a gateway after two failures
   Duration refuseCallsAfter{ 5000 };   ///< after this time in shutdown, requests are refused as not run
--- a/include/rhubarbarch/wire/gateway_messages.h
+++ b/include/rhubarbarch/wire/gateway_messages.h
@@ -31,6 +31,24 @@
   std::int64_t prefillTokens = 0; ///< of those without a first event
 };
 
+/// What a gateway knows of the rate limit of an upstream, and the calls that it wants to make there.
+struct LimitReport
+{
+  std::string upstream;
+  double callsPerSecond = 0;      ///< last named by the upstream
+  std::int64_t namedAgeMs = -1;   ///< since an answer named it; negative: no answer did
+  std::int64_t unnamedAgeMs = -1; ///< since an answer named no limit; negative: no answer since it was limited
+  std::int64_t wanted = 0;        ///< calls beyond those that are permitted
+};
+
+/// Calls that a gateway may make to an upstream whose rate is limited. They expire some time after the poll was sent.
+struct CallPermit
+{
+  std::string upstream;
+  double callsPerSecond = 0; ///< limit in force, for the calls of all gateways together
+  std::int64_t calls = 0;
+};
+
 /// Report of a gateway, repeated all the time; also its heartbeat.
 struct GatewayPoll
 {
@@ -45,6 +63,7 @@
   bool partial = false; ///< only plans that changed and cannot wait; nothing on upstreams
   std::vector<PlanUse> plans;
   std::vector<UpstreamUse> upstreams;
+  std::vector<LimitReport> limits; ///< of upstreams whose rate is limited
 };
 
 /// What the leader knows of one plan.
@@ -80,10 +99,14 @@
   std::uint32_t gateways = 1;            ///< heard lately
   std::uint64_t evacuationsRevision = 0; ///< log index of the last change of `evacuated`
   std::vector<DataCentre> evacuated;     ///< data centres whose upstreams get no new work
+  bool hasPermits = false;
+  std::vector<CallPermit> permits; ///< all upstreams whose rate is limited
 };
 
 RHUBARBARCH_DECLARE_FIELDS(PlanUse)
 RHUBARBARCH_DECLARE_FIELDS(UpstreamUse)
+RHUBARBARCH_DECLARE_FIELDS(LimitReport)
+RHUBARBARCH_DECLARE_FIELDS(CallPermit)
 RHUBARBARCH_DECLARE_FIELDS(GatewayPoll)
 RHUBARBARCH_DECLARE_FIELDS(PlanAllowance)
 RHUBARBARCH_DECLARE_FIELDS(GatewayState)
--- a/src/controller/gateways.cpp
+++ b/src/controller/gateways.cpp
@@ -315,6 +315,7 @@
       found->second.erase(aPoll.session);
     }
   }
+  recordLimits(memory.limits, aPoll.limits, aContext.now);
   if (!aPoll.partial) {
     updateUpstreamSums(memory.sums, aPoll.session, aPoll.upstreams);
   }
@@ -347,6 +348,22 @@
   return answer;
 }
 
+/// Adds the calls that a poll's answers permit. An answer to an earlier poll than the last one permits none.
+void
+addPermits(GatewayState& aAnswer, Context& aContext, const GatewayPoll& aPoll)
+{
+  auto* gateway = findGateway(aContext, aPoll.session);
+  if (gateway == nullptr || aPoll.number < gateway->permits.poll) {
+    return;
+  }
+  if (aPoll.number > gateway->permits.poll) {
+    gateway->permits = { aPoll.number,
+                         permitCalls(aContext.memory.limits, aPoll.limits, aContext.options.gateways, aContext.now) };
+  }
+  aAnswer.hasPermits = true;
+  aAnswer.permits = gateway->permits.permits;
+}
+
 /// Recalls idle tokens of a plan for which other gateways wait. The recall is sent at once: the holders' next polls
 /// would come too late for requests that wait only some hundred milliseconds.
 void
@@ -505,6 +522,7 @@
   addUpstreams(answer, aContext, aPoll, aTo);
   if (session != nullptr) {
     answer.plans = planAllowances(aContext, aPoll.session, *session);
+    addPermits(answer, aContext, aPoll);
   }
   if (!aPoll.partial) {
     answer.hasOthersUse = true;
@@ -567,6 +585,7 @@
     aContext.actions.emplace_back(ReadUpstreams{});
   }
   proposeReports(aContext);
+  expireLimits(memory.limits, aContext.options.gateways, aContext.now);
   for (auto& [session, gateway] : memory.gateways) {
     if (!hasContactWithin(aContext, session, aContext.options.gateways.gatewayTimeout) &&
         memory.sums.upstreamsBySession.contains(session)) {
--- a/src/controller/memory.h
+++ b/src/controller/memory.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "call_limits.h"
 #include "fleet_sums.h"
 
 #include "rhubarbarch/base/time.h"
@@ -77,6 +78,14 @@
   TimePoint at;
 };
 
+/// Calls permitted in the answers to one poll. Each answer to the poll repeats them, so a lost answer or one that comes
+/// both directly and through a relay permits nothing twice.
+struct PermitBatch
+{
+  std::uint64_t poll = 0; ///< number of the poll
+  std::vector<CallPermit> permits;
+};
+
 /// Data from the polls of a gateway session.
 struct GatewayMemory
 {
@@ -88,6 +97,7 @@
   std::map<PlanId, TimePoint> recalledAt; ///< time of the last recall of each plan's tokens
   SentDocument routing;
   SentDocument upstreams;
+  PermitBatch permits;
 };
 
 /// Reports of gateways that change the replicated budgets. They are proposed one batch at a time, so slow commits lead
@@ -180,6 +190,7 @@
   std::map<std::int64_t, RoutingTable> documents;      ///< latest documents, by version; deltas are computed from them
   std::map<std::int64_t, RoutingDelta> documentDeltas; ///< to the document in force, by the version they apply to
   FleetSums sums;
+  CallLimits limits;
   ReportQueue reports;
   std::map<PlanId, std::map<SessionId, TimePoint>> waitingFor; ///< sessions with waiting requests, time of last report
   std::map<PlanId, TimePoint> recalledAt; ///< when the holders of a plan's tokens were last searched
--- a/src/gateway/attempts.cpp
+++ b/src/gateway/attempts.cpp
@@ -119,21 +119,6 @@
         { "retries", aRetries } });
 }
 
-/// Logs each change of the rate limit that an upstream names in its answers.
-void
-recordNamedLimit(State& aState, Upstream& aUpstream, const UpstreamHead& aHead)
-{
-  const bool first = aHead.callsPerSecond && !aUpstream.limit.callsPerSecond;
-  const bool removed = !aHead.callsPerSecond && aUpstream.limit.callsPerSecond;
-  aUpstream.limit.callsPerSecond = aHead.callsPerSecond;
-  if (first || removed) {
-    log(aState,
-        Severity::kInfo,
-        first ? "upstream_limit_named" : "upstream_limit_removed",
-        { { "upstream", aUpstream.entry.id }, { "calls_per_second", aHead.callsPerSecond.value_or(0) } });
-  }
-}
-
 /// Fails the current attempt and starts another one, or fails the request if no further attempt is allowed.
 /// @param aMayHaveRun whether the upstream may have run the request
 /// @param aReceived whether the upstream received the request
@@ -212,12 +197,19 @@
   wanted.avoid = &aRequest.tried;
   wanted.target = Duration(aRequest.route->targetLatencyMs);
   wanted.dataCentre = aState.options.dataCentre;
+  wanted.addsDemand = !aRequest.waitsUntil;
   const auto placed = place(aState.upstreams, wanted, aState.now);
+  if (placed.upstream == nullptr && placed.limited) {
+    waitForPermit(aState, aRequest);
+    return;
+  }
   if (placed.upstream == nullptr) {
     failRequest(aState, aRequest.call.caller, { 503, "no_upstream", kBusyRetryAfter });
     return;
   }
+  aRequest.waitsUntil.reset();
   auto& upstream = *placed.upstream;
+  recordCall(upstream.limit);
   Attempt attempt;
   attempt.exchange = ExchangeId{ ++aState.lastExchange };
   attempt.upstreamId = upstream.entry.id;
@@ -232,14 +224,14 @@
   aRequest.attempt = std::make_unique<Attempt>(std::move(attempt));
   ++aRequest.sends;
   ++aRequest.mayHaveRun;
-  if (upstream.limit.callsPerSecond) {
+  if (isLimited(upstream.limit)) {
     log(aState,
         Severity::kInfo,
         "limited_call",
         { { "request", aRequest.call.requestId },
           { "upstream", upstream.entry.id },
           { "sends", aRequest.sends },
-          { "calls_per_second", *upstream.limit.callsPerSecond } });
+          { "permits_left", upstream.limit.permits.size() } });
   }
   aState.actions.emplace_back(makeCall(aState, aRequest, upstream));
 }
@@ -284,7 +276,7 @@
     return;
   }
   if (upstream != nullptr && (aHead.genuine || aHead.notRun)) {
-    recordNamedLimit(aState, *upstream, aHead);
+    onNamedLimit(aState, *upstream, aHead);
   }
   if (aHead.notRun) {
     failAttempt(
@@ -348,6 +340,7 @@
   recordFirstBytes(aState, *request);
   const auto& route = *request->route;
   if (isRetryableFailure(*request, head) && request->mayHaveRun < route.maxAttempts &&
+      hasCandidate(aState.upstreams, *request->service, request->tried, aState.now) &&
       mayRetry(aState, *request, true)) {
     logAttemptFailed(aState, *request, "upstream failed the request with status " + std::to_string(head.status), true);
     endAttempt(aState, *request, false);
@@ -379,6 +372,7 @@
 onResponseTimeout(State& aState, Request& aRequest)
 {
   if (!repeatable(aRequest) || aRequest.mayHaveRun >= aRequest.route->maxAttempts ||
+      !hasCandidate(aState.upstreams, *aRequest.service, aRequest.tried, aState.now) ||
       !mayRetry(aState, aRequest, true)) {
     return;
   }
--- /dev/null
+++ b/src/gateway/call_limit.cpp
@@ -0,0 +1,88 @@
+#include "call_limit.h"
+
+#include <algorithm>
+
+namespace rhubarbarch::gateway {
+
+namespace {
+
+/// Bounds the memory of `demand`; a report never needs to request more calls.
+constexpr std::size_t kMaxDemand = 1024;
+
+void
+dropUntil(std::deque<TimePoint>& aTimes, TimePoint aTime)
+{
+  while (!aTimes.empty() && aTimes.front() <= aTime) {
+    aTimes.pop_front();
+  }
+}
+
+} // namespace
+
+bool
+isLimited(const CallLimit& aLimit) noexcept
+{
+  return aLimit.callsPerSecond.has_value() || aLimit.announced.has_value();
+}
+
+bool
+mayCall(CallLimit& aLimit, TimePoint aNow)
+{
+  dropUntil(aLimit.permits, aNow);
+  return !isLimited(aLimit) || !aLimit.permits.empty();
+}
+
+void
+recordCall(CallLimit& aLimit) noexcept
+{
+  if (isLimited(aLimit) && !aLimit.permits.empty()) {
+    aLimit.permits.pop_front();
+  }
+}
+
+void
+recordDemand(CallLimit& aLimit, TimePoint aNow)
+{
+  if (isLimited(aLimit) && aLimit.demand.size() < kMaxDemand) {
+    aLimit.demand.push_back(aNow);
+  }
+}
+
+std::int64_t
+wantedCalls(CallLimit& aLimit, Duration aWindow, TimePoint aNow)
+{
+  dropUntil(aLimit.permits, aNow);
+  dropUntil(aLimit.demand, aNow - aWindow);
+  const auto wanted =
+    static_cast<std::int64_t>(aLimit.demand.size()) - static_cast<std::int64_t>(aLimit.permits.size());
+  return std::max<std::int64_t>(wanted, 0);
+}
+
+bool
+recordNamedLimit(CallLimit& aLimit, std::optional<double> aCallsPerSecond, TimePoint aNow)
+{
+  if (!aCallsPerSecond) {
+    if (isLimited(aLimit)) {
+      aLimit.unnamedAt = aNow;
+    }
+    return false;
+  }
+  const bool first = !aLimit.callsPerSecond;
+  aLimit.callsPerSecond = aCallsPerSecond;
+  aLimit.namedAt = aNow;
+  return first;
+}
+
+void
+removeLimit(CallLimit& aLimit) noexcept
+{
+  aLimit.callsPerSecond.reset();
+  aLimit.namedAt.reset();
+  aLimit.unnamedAt.reset();
+  aLimit.announced.reset();
+  aLimit.permits.clear();
+  aLimit.demand.clear();
+  aLimit.exhausted = false;
+}
+
+} // namespace rhubarbarch::gateway
--- a/src/gateway/control.cpp
+++ b/src/gateway/control.cpp
@@ -54,6 +54,7 @@
     poll.plans = reportUse(aState.budgets, aState.options.allowanceWindow, poll.leaving);
     poll.upstreams = reportCalls(aState.upstreams);
   }
+  reportLimits(aState, poll);
   return poll;
 }
 
@@ -68,6 +69,9 @@
     const auto& relay = link.relays[link.polls / 2 % link.relays.size()];
     auto relayed = poll;
     relayed.number = ++link.polls;
+    auto sent = link.sentPolls.back();
+    sent.number = relayed.number;
+    link.sentPolls.push_back(std::move(sent));
     aState.actions.emplace_back(Send{ { relay, Role::kAgent }, std::move(relayed) });
   }
   aState.actions.emplace_back(Send{ { currentController(link), Role::kController }, std::move(poll) });
@@ -268,6 +272,7 @@
     return;
   }
   updatePlans(aState, aAnswer);
+  applyPermits(aState, aAnswer);
   serveWaiting(aState);
 }
 
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -5,6 +5,7 @@
 #include <functional>
 #include <limits>
 #include <string_view>
+#include <utility>
 
 namespace rhubarbarch::gateway {
 
@@ -69,6 +70,8 @@
   double cost = 0;
   double expected = 0;
   Tokens uncachedTokens = 0;
+  bool avoided = false;
+  bool permitted = true; ///< no rate limit forbids a call now
 };
 
 double
@@ -128,34 +131,60 @@
   aCandidate.cost += upstream.entry.dataCentre == aRequest.dataCentre ? 0 : kOtherDataCentreMs;
 }
 
+bool
+mayTake(const Upstream& aUpstream, const Service& aService, const std::set<std::string>* aTried)
+{
+  return usable(aUpstream) && aUpstream.entry.service == aService.name &&
+         (aTried == nullptr || !aTried->contains(aUpstream.entry.id));
+}
+
+/// @return the upstreams in the request's rendezvous order; those to avoid only if no other one may be called
 std::vector<Candidate>
-candidates(Upstreams& aUpstreams, const PlacementRequest& aRequest, TimePoint aNow, bool aIncludeAvoided)
+candidates(Upstreams& aUpstreams, const PlacementRequest& aRequest, TimePoint aNow)
 {
   std::vector<Candidate> found;
   const auto part = aRequest.prompt == nullptr ? std::string_view{} : affinityPart(*aRequest.prompt);
   const auto partHash = hash(part);
   for (auto& [id, upstream] : aUpstreams.byId) {
-    const bool tried = aRequest.avoid != nullptr && aRequest.avoid->contains(id);
-    if (!usable(upstream) || tried || upstream.entry.service != aRequest.service->name ||
-        (!aIncludeAvoided && aNow < upstream.avoidUntil)) {
+    if (!mayTake(upstream, *aRequest.service, aRequest.avoid)) {
       continue;
     }
     decay(upstream, aNow);
-    found.push_back({ &upstream, mix(partHash ^ hash(id)), 0, 0, 0 });
+    Candidate candidate;
+    candidate.upstream = &upstream;
+    candidate.weight = mix(partHash ^ hash(id));
+    candidate.avoided = aNow < upstream.avoidUntil;
+    candidate.permitted = mayCall(upstream.limit, aNow);
+    found.push_back(candidate);
+  }
+  if (std::ranges::any_of(found, [](const Candidate& aEach) { return aEach.permitted && !aEach.avoided; })) {
+    std::erase_if(found, [](const Candidate& aEach) { return aEach.avoided; });
   }
   std::ranges::sort(found, std::greater{}, &Candidate::weight);
   return found;
 }
 
+/// Counts the request at the upstream that is best for it. Without any permit, that is the best one of those whose
+/// limit is not exhausted; if all are, any of them could take the request next.
+void
+addDemand(std::vector<Candidate>& aCandidates, bool aPermitted, TimePoint aNow)
+{
+  const auto exhausted = [](const Candidate& aEach) { return aEach.upstream->limit.exhausted; };
+  if (!aPermitted && std::ranges::all_of(aCandidates, exhausted)) {
+    std::ranges::for_each(aCandidates, [&](auto& aEach) { recordDemand(aEach.upstream->limit, aNow); });
+    return;
+  }
+  const auto best = std::ranges::min_element(
+    aCandidates, {}, [&](const Candidate& aEach) { return std::pair(!aPermitted && exhausted(aEach), aEach.cost); });
+  recordDemand(best->upstream->limit, aNow);
+}
+
 } // namespace
 
 Placement
 place(Upstreams& aUpstreams, const PlacementRequest& aRequest, TimePoint aNow)
 {
-  auto found = candidates(aUpstreams, aRequest, aNow, false);
-  if (found.empty()) {
-    found = candidates(aUpstreams, aRequest, aNow, true);
-  }
+  auto found = candidates(aUpstreams, aRequest, aNow);
   if (found.empty()) {
     return {};
   }
@@ -170,8 +199,26 @@
     }
     candidate.cost += errorCost(*candidate.upstream, bestRate);
   }
-  const auto best = std::ranges::min_element(found, {}, &Candidate::cost);
+  const bool permitted = std::ranges::any_of(found, &Candidate::permitted);
+  if (aRequest.addsDemand) {
+    addDemand(found, permitted, aNow);
+  }
+  if (!permitted) {
+    Placement none;
+    none.limited = true;
+    return none;
+  }
+  const auto best =
+    std::ranges::min_element(found, {}, [](const Candidate& aEach) { return std::pair(!aEach.permitted, aEach.cost); });
   return { best->upstream, Duration(std::llround(best->expected)), best->uncachedTokens };
 }
 
+bool
+hasCandidate(Upstreams& aUpstreams, const Service& aService, const std::set<std::string>& aTried, TimePoint aNow)
+{
+  return std::ranges::any_of(aUpstreams.byId, [&](auto& aItem) {
+    return mayTake(aItem.second, aService, &aTried) && mayCall(aItem.second.limit, aNow);
+  });
+}
+
 } // namespace rhubarbarch::gateway
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -19,6 +19,7 @@
   Duration target{ 0 };                            ///< target time to the first event, set by the operator
   const std::set<std::string>* avoid = nullptr;    ///< upstreams that were already tried; may be null
   DataCentre dataCentre;                           ///< of this gateway
+  bool addsDemand = true; ///< false: the request was placed before and counts already among those that need a permit
 };
 
 /// The upstream chosen for a request.
@@ -27,14 +28,22 @@
   Upstream* upstream = nullptr; ///< null: no upstream can take the request
   Duration expected{ 0 };       ///< time to the first event; for plain services, to the answer
   Tokens uncachedTokens = 0;    ///< prompt tokens that this upstream has probably not cached
+  bool limited = false;         ///< upstreams could take the request, but their rate limits permit no call now
 };
 
 /// Chooses the upstream with the lowest cost, mostly its expected time. Requests that share a prompt prefer one
 /// upstream, the same at all gateways, as long as it answers well within the target: callers gain nothing from a faster
 /// answer, and reading a prompt again takes an engine's time and memory from other requests.
 ///
+/// An upstream with a rate limit takes part only while the leader permits a call.
+///
 /// Load pattern: many sessions with long shared prompts that arrive in bursts, a few of them hot.
 Placement
 place(Upstreams& aUpstreams, const PlacementRequest& aRequest, TimePoint aNow);
 
+/// @param aTried upstreams that must not be chosen again
+/// @return whether an upstream may take a call to the service now
+bool
+hasCandidate(Upstreams& aUpstreams, const Service& aService, const std::set<std::string>& aTried, TimePoint aNow);
+
 } // namespace rhubarbarch::gateway
--- a/src/gateway/requests.cpp
+++ b/src/gateway/requests.cpp
@@ -94,6 +94,12 @@
   }
 }
 
+bool
+waitsForTokens(const Request& aRequest)
+{
+  return aRequest.waitsUntil && aRequest.route != nullptr && aRequest.needsTokens && !aRequest.reserved;
+}
+
 /// Recomputes the tokens that waiting requests need; the next poll requests them.
 void
 countWaiting(State& aState)
@@ -102,7 +108,7 @@
     budget.waiting = 0;
   }
   for (const auto& [caller, request] : aState.requests) {
-    if (request.waitsUntil && request.route != nullptr) {
+    if (waitsForTokens(request)) {
       aState.budgets.plans[request.plan].waiting += request.maxCost;
     }
   }
@@ -238,6 +244,8 @@
     const auto& request = aState.requests.at(caller);
     if (request.route == nullptr) {
       failRequest(aState, caller, { 503, "no_configuration", kStartupRetryAfter });
+    } else if (request.waitsUntil && !waitsForTokens(request)) {
+      failRequest(aState, caller, limitedError(aState, request));
     } else if (request.waitsUntil) {
       failRequest(aState, caller, { 503, "tokens_held_elsewhere", kTokensRetryAfter });
     } else {
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -12,6 +12,7 @@
 #include <nlohmann/json_fwd.hpp>
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -61,6 +62,14 @@
   bool paused = false;
 };
 
+/// A poll whose answer may still permit calls.
+struct SentPoll
+{
+  std::uint64_t number = 0;
+  TimePoint at;
+  std::map<std::string, std::int64_t> wanted; ///< calls requested, by upstream
+};
+
 /// State of the polls to the controllers.
 struct ControlLink
 {
@@ -76,6 +85,7 @@
   TimePoint directAnswerAt;        ///< time of the last answer without a relay
   std::vector<std::string> relays; ///< endpoints
   std::uint64_t answered = 0;      ///< highest number of an answered poll
+  std::deque<SentPoll> sentPolls;  ///< in order of their numbers
   std::uint32_t gateways = 1;
   TimePoint listRequestedAt;
 };
@@ -127,6 +137,14 @@
   Totals totals;
 };
 
+/// Error for a request that ends without an upstream's answer.
+struct RequestError
+{
+  std::int32_t status = 503; ///< HTTP status if it is confirmed that the request did not run
+  const char* error = "";
+  Duration retryAfter{ 0 };
+};
+
 void
 log(State& aState, Severity aSeverity, std::string aEvent, nlohmann::json aFields);
 
@@ -151,6 +169,23 @@
 void
 onContacts(State& aState, const Contacts& aContacts);
 
+// permits.cpp
+
+/// Reports the rate limits of upstreams and the calls that requests want to make under them.
+void
+reportLimits(State& aState, GatewayPoll& aPoll);
+/// Takes over the limits in force and the permitted calls of an answer, unless a later answer was applied before.
+void
+applyPermits(State& aState, const GatewayState& aAnswer);
+/// Records what the head of an answer says on the upstream's limit.
+void
+onNamedLimit(State& aState, Upstream& aUpstream, const UpstreamHead& aHead);
+/// Lets a request wait until the leader permits a call, or fails it if the leader permitted too few.
+void
+waitForPermit(State& aState, Request& aRequest);
+RequestError
+limitedError(const State& aState, const Request& aRequest);
+
 // overload.cpp
 
 void
@@ -202,14 +237,6 @@
 
 // finish.cpp
 
-/// Error for a request that ends without an upstream's answer.
-struct RequestError
-{
-  std::int32_t status = 503; ///< HTTP status if it is confirmed that the request did not run
-  const char* error = "";
-  Duration retryAfter{ 0 };
-};
-
 /// Sends an error of this gateway, or aborts the answer in progress. The status states that the request did not run
 /// only if that is confirmed.
 void
--- a/src/wire/gateway_messages.cpp
+++ b/src/wire/gateway_messages.cpp
@@ -6,6 +6,8 @@
 
 RHUBARBARCH_DEFINE_FIELDS(PlanUse, plan, returned, spent, reserved, target, waiting, issued)
 RHUBARBARCH_DEFINE_FIELDS(UpstreamUse, id, running, prefillTokens)
+RHUBARBARCH_DEFINE_FIELDS(LimitReport, upstream, callsPerSecond, namedAgeMs, unnamedAgeMs, wanted)
+RHUBARBARCH_DEFINE_FIELDS(CallPermit, upstream, callsPerSecond, calls)
 RHUBARBARCH_DEFINE_FIELDS(GatewayPoll,
                           instance,
                           boot,
@@ -17,7 +19,8 @@
                           leaving,
                           partial,
                           plans,
-                          upstreams)
+                          upstreams,
+                          limits)
 RHUBARBARCH_DEFINE_FIELDS(PlanAllowance, plan, issued, remaining, recall)
 RHUBARBARCH_DEFINE_FIELDS(GatewayState,
                           instance,
@@ -40,6 +43,8 @@
                           controllers,
                           gateways,
                           evacuationsRevision,
-                          evacuated)
+                          evacuated,
+                          hasPermits,
+                          permits)
 
 } // namespace rhubarbarch
