Bound the calls to cold upstreams over all gateways

When all engines are cold, each gateway chooses one by its own view and the sum is bounded by nobody.

The leader permits calls to a cold upstream from the same token bucket as calls under a named limit; of two limits the lower one counts.

--- a/include/rhubarbarch/wire/routing.h
+++ b/include/rhubarbarch/wire/routing.h
@@ -63,7 +63,8 @@
   std::string healthPath;
   std::int64_t maxConnections = 0; ///< of one upstream, from all callers
   bool isEngine = false;
-  EngineLimits engine; ///< engines only
+  EngineLimits engine;           ///< engines only
+  double coldCallsPerSecond = 0; ///< calls that one upstream bears from all callers while it is cold; zero: no limit
 
   bool operator==(const Service&) const = default;
 };
--- a/src/controller/gateways.cpp
+++ b/src/controller/gateways.cpp
@@ -357,6 +357,14 @@
     return;
   }
   if (aPoll.number > gateway->permits.poll) {
+    const auto& platform = aContext.platform;
+    if (platform.upstreamsReadAt) {
+      recordColdUpstreams(aContext.memory.limits,
+                          platform.upstreams,
+                          aContext.state.routing.table.services,
+                          *platform.upstreamsReadAt,
+                          aContext.now);
+    }
     gateway->permits = { aPoll.number,
                          permitCalls(aContext.memory.limits, aPoll.limits, aContext.options.gateways, aContext.now) };
   }
--- a/src/gateway/attempts.cpp
+++ b/src/gateway/attempts.cpp
@@ -209,7 +209,7 @@
   }
   aRequest.waitsUntil.reset();
   auto& upstream = *placed.upstream;
-  recordCall(upstream.limit);
+  recordCall(upstream.limit, aState.now);
   Attempt attempt;
   attempt.exchange = ExchangeId{ ++aState.lastExchange };
   attempt.upstreamId = upstream.entry.id;
@@ -224,7 +224,7 @@
   aRequest.attempt = std::make_unique<Attempt>(std::move(attempt));
   ++aRequest.sends;
   ++aRequest.mayHaveRun;
-  if (isLimited(upstream.limit)) {
+  if (isLimited(upstream.limit, aState.now)) {
     log(aState,
         Severity::kInfo,
         "limited_call",
--- a/src/gateway/call_limit.cpp
+++ b/src/gateway/call_limit.cpp
@@ -20,22 +20,22 @@
 } // namespace
 
 bool
-isLimited(const CallLimit& aLimit) noexcept
+isLimited(const CallLimit& aLimit, TimePoint aNow) noexcept
 {
-  return aLimit.callsPerSecond.has_value() || aLimit.announced.has_value();
+  return aLimit.callsPerSecond.has_value() || aLimit.announced.has_value() || aNow < aLimit.coldUntil;
 }
 
 bool
 mayCall(CallLimit& aLimit, TimePoint aNow)
 {
   dropUntil(aLimit.permits, aNow);
-  return !isLimited(aLimit) || !aLimit.permits.empty();
+  return !isLimited(aLimit, aNow) || !aLimit.permits.empty();
 }
 
 void
-recordCall(CallLimit& aLimit) noexcept
+recordCall(CallLimit& aLimit, TimePoint aNow) noexcept
 {
-  if (isLimited(aLimit) && !aLimit.permits.empty()) {
+  if (isLimited(aLimit, aNow) && !aLimit.permits.empty()) {
     aLimit.permits.pop_front();
   }
 }
@@ -43,7 +43,7 @@
 void
 recordDemand(CallLimit& aLimit, TimePoint aNow)
 {
-  if (isLimited(aLimit) && aLimit.demand.size() < kMaxDemand) {
+  if (isLimited(aLimit, aNow) && aLimit.demand.size() < kMaxDemand) {
     aLimit.demand.push_back(aNow);
   }
 }
@@ -62,7 +62,7 @@
 recordNamedLimit(CallLimit& aLimit, std::optional<double> aCallsPerSecond, TimePoint aNow)
 {
   if (!aCallsPerSecond) {
-    if (isLimited(aLimit)) {
+    if (isLimited(aLimit, aNow)) {
       aLimit.unnamedAt = aNow;
     }
     return false;
@@ -80,8 +80,6 @@
   aLimit.namedAt.reset();
   aLimit.unnamedAt.reset();
   aLimit.announced.reset();
-  aLimit.permits.clear();
-  aLimit.demand.clear();
   aLimit.exhausted = false;
 }
 
--- a/src/gateway/call_limit.h
+++ b/src/gateway/call_limit.h
@@ -15,6 +15,7 @@
   std::optional<TimePoint> namedAt;     ///< time of the last answer that named the limit
   std::optional<TimePoint> unnamedAt;   ///< time of the last answer that named no limit while there was one
   std::optional<double> announced;      ///< limit in force according to the leader
+  TimePoint coldUntil;                  ///< until then, the upstream bears only a limited rate
   std::deque<TimePoint> permits;        ///< when each call that is permitted and not yet made expires
   std::deque<TimePoint> demand;         ///< recent requests for which this upstream was the best
   bool exhausted = false;               ///< the leader permitted fewer calls than were wanted
@@ -22,7 +23,7 @@
 
 /// @return whether calls to the upstream need a permit
 bool
-isLimited(const CallLimit& aLimit) noexcept;
+isLimited(const CallLimit& aLimit, TimePoint aNow) noexcept;
 
 /// @return whether a call may be made now
 bool
@@ -30,7 +31,7 @@
 
 /// Uses a permit if the upstream is limited.
 void
-recordCall(CallLimit& aLimit) noexcept;
+recordCall(CallLimit& aLimit, TimePoint aNow) noexcept;
 
 /// Records that a request would be sent to the upstream if that is permitted.
 void
@@ -46,7 +47,7 @@
 bool
 recordNamedLimit(CallLimit& aLimit, std::optional<double> aCallsPerSecond, TimePoint aNow);
 
-/// Removes the limit: the leader knows of a later answer without one.
+/// Removes the named limit: the leader knows of a later answer without one.
 void
 removeLimit(CallLimit& aLimit) noexcept;
 
--- a/src/gateway/control.cpp
+++ b/src/gateway/control.cpp
@@ -185,6 +185,7 @@
     return;
   }
   aState.index = makeRouteIndex(aTable);
+  updateColdUpstreams(aState);
   aState.actions.emplace_back(LimitCallers{ aTable.limits });
   log(
     aState, Severity::kInfo, "routing_in_force", { { "version", aTable.version }, { "routes", aTable.routes.size() } });
@@ -346,6 +347,7 @@
 applyUpstreams(State& aState, const std::vector<UpstreamEntry>& aList, TimePoint aReadAt)
 {
   applyList(aState.upstreams, aList, aReadAt, aState.now);
+  updateColdUpstreams(aState);
   chooseRelays(aState);
   const auto leaving = std::ranges::count_if(aList, &UpstreamEntry::leaving);
   log(aState, Severity::kInfo, "upstreams_listed", { { "upstreams", aList.size() }, { "leaving", leaving } });
--- a/src/gateway/permits.cpp
+++ b/src/gateway/permits.cpp
@@ -61,7 +61,7 @@
   for (auto& [id, upstream] : aState.upstreams.byId) {
     auto& limit = upstream.limit;
     const bool listed = std::ranges::find(aAnswer.permits, id, &CallPermit::upstream) != aAnswer.permits.end();
-    if (!isLimited(limit) || listed) {
+    if (listed || !(limit.callsPerSecond || limit.announced)) {
       continue;
     }
     // The upstream named its limit after the poll was sent.
@@ -69,13 +69,28 @@
       limit.announced.reset();
       continue;
     }
+    if (limit.callsPerSecond) {
+      log(aState, Severity::kInfo, "upstream_limit_removed", { { "upstream", id } });
+    }
     removeLimit(limit);
-    log(aState, Severity::kInfo, "upstream_limit_removed", { { "upstream", id } });
   }
 }
 
 } // namespace
 
+void
+updateColdUpstreams(State& aState)
+{
+  if (!aState.index) {
+    return;
+  }
+  for (auto& [id, upstream] : aState.upstreams.byId) {
+    const auto* service = findService(*aState.index, upstream.entry.service);
+    const bool bounded = upstream.listed && service != nullptr && service->coldCallsPerSecond > 0;
+    upstream.limit.coldUntil = bounded ? aState.upstreams.listedAt + Duration(upstream.entry.coldMs) : TimePoint{};
+  }
+}
+
 void
 reportLimits(State& aState, GatewayPoll& aPoll)
 {
@@ -84,7 +99,7 @@
   sent.at = aState.now;
   for (auto& [id, upstream] : aState.upstreams.byId) {
     auto& limit = upstream.limit;
-    if (!isLimited(limit)) {
+    if (!isLimited(limit, aState.now)) {
       continue;
     }
     LimitReport report;
@@ -146,7 +161,7 @@
   double perSecond = 0;
   std::size_t demand = 0;
   for (const auto& [id, upstream] : aState.upstreams.byId) {
-    if (upstream.entry.service == aRequest.service->name && isLimited(upstream.limit)) {
+    if (upstream.entry.service == aRequest.service->name && isLimited(upstream.limit, aState.now)) {
       perSecond += rateInForce(upstream.limit);
       demand = std::max(demand, upstream.limit.demand.size());
     }
@@ -164,7 +179,8 @@
   }
   const bool refused = std::ranges::all_of(aState.upstreams.byId, [&](const auto& aItem) {
     const auto& upstream = aItem.second;
-    return upstream.entry.service != aRequest.service->name || !isLimited(upstream.limit) || upstream.limit.exhausted;
+    return upstream.entry.service != aRequest.service->name || !isLimited(upstream.limit, aState.now) ||
+           upstream.limit.exhausted;
   });
   if (refused) {
     failRequest(aState, aRequest.call.caller, limitedError(aState, aRequest));
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -171,6 +171,9 @@
 
 // permits.cpp
 
+/// Derives from the list and the routing table which upstreams are cold and bear a limited rate until they are warm.
+void
+updateColdUpstreams(State& aState);
 /// Reports the rate limits of upstreams and the calls that requests want to make under them.
 void
 reportLimits(State& aState, GatewayPoll& aPoll);
--- a/src/wire/routing.cpp
+++ b/src/wire/routing.cpp
@@ -78,7 +78,7 @@
 }
 
 RHUBARBARCH_DEFINE_FIELDS(EngineLimits, slots, kvTokens, eventTokens)
-RHUBARBARCH_DEFINE_FIELDS(Service, name, healthPath, maxConnections, isEngine, engine)
+RHUBARBARCH_DEFINE_FIELDS(Service, name, healthPath, maxConnections, isEngine, engine, coldCallsPerSecond)
 RHUBARBARCH_DEFINE_FIELDS(CallerLimits, maxHeaderBytes, maxBodyBytes, headerTimeoutMs, idleTimeoutMs)
 RHUBARBARCH_DEFINE_FIELDS(PlanAccess, plan, keys, priority, prepaid)
 RHUBARBARCH_DEFINE_FIELDS(RoutingTable, version, routes, services, plans, limits)
--- a/tests/fleet/call_limit_test.cpp
+++ b/tests/fleet/call_limit_test.cpp
@@ -22,6 +22,11 @@
   return static_cast<std::size_t>(aCallsPerSecond * 1.5 * std::chrono::duration<double>(kWindow).count() + 5);
 }
 
+constexpr Duration kColdTime{ 3000 };
+constexpr Duration kColdWindow{ 1000 };
+/// Calls that a cold engine may get in a second: one and a half times its rate and five more.
+constexpr auto kAllowedCold = static_cast<std::size_t>(GatewayFleet::kColdCallsPerSecond * 1.5 + 5);
+
 } // namespace
 
 TEST_GROUP(CallLimit){};
@@ -130,3 +135,40 @@
   // Without a limit the engine gets about a sixth of 300 calls a second.
   CHECK_COMPARE(fleet.arrivalsBetween(engine, ended, fleet.now()), >, 100U);
 }
+
+// Guards against the calls of all gateways together exceeding the rate that the only engine of a service bears while it
+// is cold, and against leaving it idle until it is warm.
+TEST(CallLimit, holdsForAColdEngine)
+{
+  GatewayFleet fleet(30, 1, testSeed());
+  fleet.run(Duration{ 3000 });
+  const auto restarted = fleet.now();
+  fleet.restartCold(0, kColdTime);
+  fleet.run(kColdTime);
+  const auto& engine = fleet.engines[0];
+  CHECK_COMPARE(fleet.mostArrivals(engine, kColdWindow, restarted, std::nullopt), <=, kAllowedCold);
+  // 3 s at 12 a second; at least two thirds of them are used.
+  CHECK_COMPARE(fleet.arrivalsBetween(engine, restarted, fleet.now()), >=, 24U);
+  fleet.run(Duration{ 500 });
+  const auto warm = fleet.now();
+  fleet.run(Duration{ 2000 });
+  CHECK_EQUAL(0U, fleet.repliesWith(503, warm));
+}
+
+// Guards against all engines being overrun when they come back cold at the same moment and the leader is lost.
+TEST(CallLimit, holdsWhenAllEnginesAreColdAndTheLeaderChanges)
+{
+  GatewayFleet fleet(30, 6, testSeed());
+  fleet.run(Duration{ 3000 });
+  const auto restarted = fleet.now();
+  for (std::size_t i = 0; i < fleet.engines.size(); ++i) {
+    fleet.restartCold(i, Duration{ 6000 });
+  }
+  fleet.run(Duration{ 1500 });
+  fleet.cutLeader();
+  fleet.run(Duration{ 4500 });
+  for (const auto& engine : fleet.engines) {
+    CHECK_COMPARE(fleet.mostArrivals(engine, kColdWindow, restarted, std::nullopt), <=, kAllowedCold);
+  }
+  CHECK_COMPARE(fleet.repliesWith(200, restarted), >, 0U);
+}
--- a/tests/support/gateway_fleet.h
+++ b/tests/support/gateway_fleet.h
@@ -37,6 +37,7 @@
     std::optional<double> callsPerSecond; ///< named in each answer
     std::vector<Arrival> arrivals;
     std::map<std::size_t, TimePoint> toldAt; ///< when a gateway first got an answer that names the limit
+    TimePoint coldUntil;
   };
 
   struct Reply
@@ -99,6 +100,16 @@
     }
   }
 
+  /// Replaces an engine by one with a new id that is cold for a time, and lists it at once.
+  void restartCold(std::size_t aEngine, Duration aTime)
+  {
+    auto& engine = engines[aEngine];
+    engine.entry.id += "'";
+    engine.coldUntil = controllers.now + aTime;
+    engine.arrivals.clear();
+    readList();
+  }
+
   /// Cuts a gateway off from all controllers, or connects it again.
   void cutOff(std::size_t aGateway, bool aCut) { gateways[aGateway].cut = aCut; }
   /// Stops a gateway as a suspended machine would be, or lets it go on.
@@ -149,7 +160,8 @@
   ControllerHarness controllers;
   std::vector<Engine> engines;
   std::vector<Reply> replies;
-  double callsPerSecond = 10; ///< of the callers of each gateway
+  static constexpr double kColdCallsPerSecond = 12; ///< of each engine while it is cold
+  double callsPerSecond = 10;                       ///< of the callers of each gateway
   Duration serviceTime{ 100 };
 
 private:
@@ -171,6 +183,7 @@
     std::size_t gateway = 0;
     gateway::ExchangeId exchange{};
     std::size_t engine = 0;
+    bool otherInstance = false; ///< the engine that was meant has been replaced
   };
 
   static controller::ControllerOptions controllerOptions()
@@ -194,14 +207,18 @@
     RoutingTable table;
     table.version = 3;
     table.routes = { route };
-    table.services = { { "engine", "/healthz", 100, true, { 64, 400000, 3 } } };
+    table.services = { { "engine", "/healthz", 100, true, { 64, 400000, 3 }, kColdCallsPerSecond } };
     return table;
   }
 
   void readList()
   {
     std::vector<UpstreamEntry> list;
-    std::ranges::transform(engines, std::back_inserter(list), &Engine::entry);
+    std::ranges::transform(engines, std::back_inserter(list), [&](const Engine& aEach) {
+      auto entry = aEach.entry;
+      entry.coldMs = std::max<std::int64_t>((aEach.coldUntil - controllers.now).count(), 0);
+      return entry;
+    });
     for (auto& [name, role] : controllers.roles) {
       role->handle(controller::UpstreamsRead{ list }, controllers.now);
     }
@@ -244,6 +261,12 @@
     auto& engine = engines[aCall.engine];
     gateway::UpstreamHead head;
     head.exchange = aCall.exchange;
+    if (aCall.otherInstance) {
+      head.status = 421;
+      head.otherInstance = true;
+      handle(aCall.gateway, head);
+      return;
+    }
     head.status = 200;
     head.genuine = true;
     head.fields = { { "Content-Type", "text/event-stream" } };
@@ -297,11 +320,18 @@
   void start(std::size_t aGateway, const gateway::StartCall& aCall)
   {
     const auto found =
-      std::ranges::find_if(engines, [&](const Engine& aEach) { return aEach.entry.id == aCall.upstreamId; });
-    found->arrivals.push_back({ controllers.now, aGateway });
+      std::ranges::find_if(engines, [&](const Engine& aEach) { return aEach.entry.endpoint == aCall.endpoint; });
+    Call call;
+    call.gateway = aGateway;
+    call.exchange = aCall.exchange;
+    call.engine = static_cast<std::size_t>(found - engines.begin());
+    call.otherInstance = found->entry.id != aCall.upstreamId;
+    call.answerAt = controllers.now + (call.otherInstance ? kTickPeriod : serviceTime);
+    if (!call.otherInstance) {
+      found->arrivals.push_back({ controllers.now, aGateway });
+    }
     gateways[aGateway].calls.insert(aCall.exchange);
-    mCalls.push_back(
-      { controllers.now + serviceTime, aGateway, aCall.exchange, static_cast<std::size_t>(found - engines.begin()) });
+    mCalls.push_back(call);
   }
 
   std::mt19937_64 mRandom;
