Bound what is read of a message without an end

- A caller's chunk header or trailer without an end filled the read buffer of its connection up to its limit, and the next read threw std::length_error out of the event loop: the process ended.
HttpServer.refusesChunkFramingWithoutEnd ended its test program so; the request now gets 400.
- An upstream's chunk header, trailer or sequence of interim answers without an end was read for as long as it came (UpstreamClient.leavesAnswersWithoutEnd: all 64 MiB before; now the call fails after 64 KiB or 16 interim answers).
A head without an end was bounded before.

HttpServer.refusesGarbageBehindARequest did not fail before; refuse() now drops what is buffered, so that the reads that discard the rest start from an empty buffer.

--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -210,6 +210,9 @@
   }
   if (mPhase == Phase::kReceiving && mParser->is_done()) {
     dispatch();
+  } else if (mPhase == Phase::kReceiving && mBuffer.size() > mShared->options.maxHeaderBytes) {
+    // The parser waits for the end of a chunk's header or of the trailer, for which it has no limit.
+    refuse({ 400, "malformed_request" });
   }
 }
 
@@ -414,6 +417,7 @@
   ++mShared->refused;
   mPhase = Phase::kClosing;
   mKeepAlive = false;
+  mBuffer.consume(mBuffer.size());
   mShared->events.log(
     { Severity::kInfo,
       "http_request_refused",
--- a/src/net/http_exchange.cpp
+++ b/src/net/http_exchange.cpp
@@ -32,6 +32,10 @@
 
 constexpr std::size_t kReadBytes = std::size_t{ 16 } * 1024;
 constexpr std::uint32_t kMaxHeadBytes = 32 * 1024;
+/// Bytes that are read and not yet parsed. Beast has no limit of its own for the headers of chunks and for trailers.
+constexpr std::size_t kMaxUnparsedBytes = std::size_t{ 64 } * 1024;
+/// Interim answers (status 1xx) before the final one.
+constexpr int kMaxInterimAnswers = 16;
 // Connections whose server states no time-out are kept for this long; common servers close them after 5 s.
 constexpr std::chrono::seconds kDefaultKeepAlive{ 4 };
 // A kept connection is not used in the last part of its server's time-out, when a close may be on its way.
@@ -103,6 +107,7 @@
     , mText(requestText(mCall, mPool->endpoint))
     , mSocket(mPool->context)
     , mTimer(mPool->context)
+    , mBuffer(kMaxUnparsedBytes)
   {
   }
 
@@ -141,6 +146,7 @@
   std::array<char, kReadBytes> mChunk{};
   std::string mHeld;       ///< read before a pause took effect
   bool mMayBeSent = false; ///< a write was begun and did not end with zero bytes written
+  int mInterimAnswers = 0;
   bool mReused = false;
   bool mAnswered = false; ///< a byte of the answer was read
   bool mPaused = false;
@@ -282,6 +288,10 @@
   }
   mAnswered = true;
   if (mParser->get().result_int() < 200) {
+    if (++mInterimAnswers > kMaxInterimAnswers) {
+      failed("answer: too many interim answers");
+      return;
+    }
     prepareParser();
     readHead();
     return;
--- a/tests/net/http_server_test.cpp
+++ b/tests/net/http_server_test.cpp
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <memory>
+#include <thread>
 #include <vector>
 
 #include <CppUTest/TestHarness.h>
@@ -78,6 +79,14 @@
     boost::asio::post(loop.context, [this] { countTurns(); });
   }
 
+  /// Lets the loop run for some turns, in each of which a connection reads once if bytes have arrived.
+  void takeTurns(int aTurns)
+  {
+    for (int turn = 0; turn < aTurns; ++turn) {
+      loop.run([] {});
+    }
+  }
+
   router::CallerRequest awaitRequest(std::size_t aNumber)
   {
     CHECK(seen.wait([&](const Seen& aSeen) { return aSeen.requests.size() >= aNumber; }));
@@ -113,6 +122,43 @@
   }
 };
 
+// Guards against a request whose chunk header or trailer has no end: the read buffer's limit used to end the process.
+TEST(HttpServer, refusesChunkFramingWithoutEnd)
+{
+  constexpr std::size_t kFillerBytes = std::size_t{ 1024 } * 1024;
+  start();
+  for (const auto* begin : { "5;", "0\r\nX-Field: ", "0\r\nX: y\r\nX-Field: " }) {
+    RawSocket caller(server->port());
+    caller.send("POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n");
+    caller.send(begin);
+    caller.send(std::string(kFillerBytes, 'x'));
+    CHECK(caller.readAll().starts_with("HTTP/1.1 400 "));
+  }
+  CHECK(seen.copy().requests.empty());
+  RawSocket other(server->port());
+  other.send("GET /b HTTP/1.1\r\nHost: h\r\n\r\n");
+  STRCMP_EQUAL("/b", awaitRequest(1).path.c_str());
+}
+
+// Guards against bytes behind a request that are no request exceeding the read buffer's limit.
+TEST(HttpServer, refusesGarbageBehindARequest)
+{
+  start();
+  RawSocket caller(server->port());
+  caller.send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+  const auto request = awaitRequest(1);
+  // One byte less than a read takes, so that reading goes on until the buffer is as full as it gets.
+  caller.send(std::string(std::size_t{ 16 } * 1024 - 1, 'x'));
+  takeTurns(100);
+  std::thread sender([&] { caller.send(std::string(options.maxPipelinedBytes + std::size_t{ 1024 } * 1024, 'x')); });
+  takeTurns(100);
+  answer(request.caller, "first");
+  const auto text = caller.readAll();
+  sender.join();
+  CHECK(text.starts_with("HTTP/1.1 200 "));
+  CHECK(text.find("HTTP/1.1 4") != std::string::npos);
+}
+
 // Guards against a caller making the process hold an unbounded header or body.
 TEST(HttpServer, refusesOversizedRequests)
 {
--- a/tests/net/net_support.h
+++ b/tests/net/net_support.h
@@ -116,11 +116,24 @@
     limit();
   }
 
-  /// Sends bytes; a peer that has closed is not an error.
-  void send(const std::string& aBytes)
+  /// Sends bytes; a peer that has closed is not an error. @return whether the bytes were taken
+  bool send(const std::string& aBytes)
   {
-    boost::system::error_code ignored;
-    boost::asio::write(mSocket, boost::asio::buffer(aBytes), ignored);
+    boost::system::error_code error;
+    boost::asio::write(mSocket, boost::asio::buffer(aBytes), error);
+    return !error;
+  }
+
+  /// Sends the same bytes over and over until the peer closes or `aMost` bytes were taken.
+  /// @return whether the peer closed
+  bool sendWithoutEnd(const std::string& aBytes, std::size_t aMost)
+  {
+    for (std::size_t taken = 0; taken < aMost; taken += aBytes.size()) {
+      if (!send(aBytes)) {
+        return true;
+      }
+    }
+    return false;
   }
 
   /// @return what was received up to and including `aEnd`, or up to the close of the connection
--- a/tests/net/upstream_client_test.cpp
+++ b/tests/net/upstream_client_test.cpp
@@ -149,6 +149,36 @@
   CHECK(awaitFailure() == ExchangeFailure::kBroken);
 }
 
+// Guards against bytes that are no answer filling the memory of the process or holding a call while they last: a head,
+// a chunk's header or a trailer without end, and interim answers one after the other.
+TEST(UpstreamClient, leavesAnswersWithoutEnd)
+{
+  constexpr std::size_t kMost = std::size_t{ 64 } * 1024 * 1024;
+  const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::string filler(std::size_t{ 64 } * 1024, 'x');
+  const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+  std::string interims;
+  while (interims.size() < filler.size()) {
+    interims += interim;
+  }
+  const std::vector<std::pair<std::string, std::string>> answers = { { "HTTP/1.1 200 OK\r\nX-Field: ", filler },
+                                                                     { chunked + "5;", filler },
+                                                                     { chunked + "0\r\nX-Field: ", filler },
+                                                                     { chunked + "0\r\n", "X: y\r\n" + filler },
+                                                                     { interim, interims } };
+  start(listener.port());
+  for (const auto& [begin, more] : answers) {
+    seen.change([](Seen& aSeen) { aSeen = {}; });
+    send(run("{}"));
+    RawSocket upstream(listener.acceptor);
+    upstream.readUntil("{}");
+    upstream.send(begin);
+    CHECK(upstream.sendWithoutEnd(more, kMost));
+    CHECK(awaitFailure() == ExchangeFailure::kBroken);
+    CHECK_FALSE(seen.copy().ended);
+  }
+}
+
 // Guards against an answer being buffered in the agent while its reader is slow.
 TEST(UpstreamClient, pauseStopsReading)
 {
