--- a/include/rhubarbarch/wire/gateway_messages.h
+++ b/include/rhubarbarch/wire/gateway_messages.h
@@ -93,14 +93,14 @@
   std::int64_t upstreamsAgeMs = -1; ///< since the platform's list was read; negative: never
   std::vector<UpstreamEntry> upstreams;
   bool hasOthersUse = true;
-  std::vector<UpstreamUse> othersUse;    ///< sums over all other gateways
-  std::vector<PlanAllowance> plans;      ///< those with news for this gateway
-  std::vector<std::string> controllers;  ///< endpoints of the members
-  std::uint32_t gateways = 1;            ///< heard lately
+  std::vector<UpstreamUse> othersUse;   ///< sums over all other gateways
+  std::vector<PlanAllowance> plans;     ///< those with news for this gateway
+  std::vector<std::string> controllers; ///< endpoints of the members
+  std::uint32_t gateways = 1;           ///< heard lately
+  bool hasPermits = false;
   std::uint64_t evacuationsRevision = 0; ///< log index of the last change of `evacuated`
   std::vector<DataCentre> evacuated;     ///< data centres whose upstreams get no new work
-  bool hasPermits = false;
-  std::vector<CallPermit> permits; ///< all upstreams whose rate is limited
+  std::vector<CallPermit> permits;       ///< all upstreams whose rate is limited
 };
 
 RHUBARBARCH_DECLARE_FIELDS(PlanUse)
