--- a/tests/fleet/call_limit_test.cpp
+++ b/tests/fleet/call_limit_test.cpp
@@ -62,6 +62,24 @@
   CHECK_EQUAL(0U, fleet.repliesWith(503, named));
 }
 
+// Guards against a former leader, cut off from the other controllers but not from the gateways, permitting calls beside
+// the new one.
+TEST(CallLimit, holdsBesideAFormerLeader)
+{
+  GatewayFleet fleet(30, 6, testSeed());
+  auto& engine = fleet.engines[0];
+  engine.callsPerSecond = 2;
+  const auto named = fleet.now();
+  for (int i = 0; i < 4; ++i) {
+    fleet.run(Duration{ 4000 });
+    fleet.controllers.isolated.insert(fleet.controllers.leader());
+    fleet.run(Duration{ 3000 });
+    fleet.controllers.isolated.clear();
+  }
+  CHECK_COMPARE(fleet.mostArrivals(engine, kWindow, named + kGracePeriod, kToldFor), <=, allowedCalls(2));
+  CHECK_COMPARE(fleet.controllers.countLines("leadership_gained"), >=, 5U);
+}
+
 // Guards against gateways that are cut off, suspended or new exceeding the limit of an upstream that they can reach.
 TEST(CallLimit, holdsForGatewaysOutOfTouch)
 {
--- a/tests/support/controller_harness.h
+++ b/tests/support/controller_harness.h
@@ -192,7 +192,8 @@
   WallTime wall{ Duration{ 1'800'000'000'000 } };
   std::map<InstanceId, std::unique_ptr<controller::ControllerRole>> roles;
   std::map<InstanceId, consensus::MemoryDisk> disks;
-  std::set<InstanceId> cut; ///< controllers that exchange nothing with anyone
+  std::set<InstanceId> cut;      ///< controllers that exchange nothing with anyone
+  std::set<InstanceId> isolated; ///< controllers that exchange nothing with other controllers
   std::map<Address, Peer> peers;
   std::map<Address, std::vector<Message>> inboxes;
   std::vector<controller::OperatorReply> replies;
@@ -226,6 +227,9 @@
         }
         if (envelope.to.role == Role::kController && roles.contains(envelope.to.instance)) {
           const auto& to = envelope.to.instance;
+          if (isolated.contains(envelope.from.instance) || isolated.contains(to)) {
+            continue;
+          }
           take(to, roles.at(to)->handle(controller::PeerMessage{ envelope.from, envelope.message }, now));
           continue;
         }
