Refuse requests that arrive after a gateway has stopped

Operators of similar systems reported requests that had just been accepted and were cut off during a planned stop. It can happen here: once a leaving gateway has reported that it is done, its process may end at any moment, but a request on a connection that was still open was sent to an upstream until 2.9 s (streams) or 5 s (others) after SIGTERM. Such a request is now refused as not run, with Retry-After.

GatewayRequests.refusesRequestsOnceStopped failed before (a call was started).

--- a/src/gateway/requests.cpp
+++ b/src/gateway/requests.cpp
@@ -60,13 +60,14 @@
   return std::nullopt;
 }
 
-/// Refuses requests that a gateway that is shutting down could not finish.
+/// Refuses requests that a gateway that is shutting down could not finish. Once it has stopped, the process may end at
+/// any moment.
 std::optional<RequestError>
 checkLeaving(const State& aState, const Request& aRequest)
 {
   const bool streams = aRequest.route->kind == CallKind::kStream;
   const auto last = streams ? aState.options.refuseStreamsAfter : aState.options.refuseCallsAfter;
-  if (aState.leavingSince && aState.now - *aState.leavingSince >= last) {
+  if (aState.stopped || (aState.leavingSince && aState.now - *aState.leavingSince >= last)) {
     return RequestError{ 503, "shutting_down", kElsewhereRetryAfter };
   }
   return std::nullopt;
--- a/tests/gateway/requests_test.cpp
+++ b/tests/gateway/requests_test.cpp
@@ -268,3 +268,22 @@
   const auto second = fleet.takeOne<StartCall>();
   STRCMP_EQUAL("1", second.lastEventId.c_str());
 }
+
+// Guards against a request that arrives on an open connection after the gateway has reported that it is done: the
+// process ends while an upstream runs it, and the caller gets no answer.
+TEST(GatewayRequests, refusesRequestsOnceStopped)
+{
+  fleet.handle(Shutdown{});
+  while (fleet.take<Stopped>().empty()) {
+    fleet.tick();
+    auto state = fleet.state();
+    state.number = fleet.lastPoll().number;
+    fleet.handle(PeerMessage{ { kLeader, Role::kController }, state });
+  }
+  fleet.clearActions();
+  fleet.call("/stock/1");
+  CHECK(fleet.take<StartCall>().empty());
+  const auto refusal = fleet.takeOne<ReplyHead>();
+  CHECK_EQUAL(503, refusal.httpStatus);
+  CHECK(refusal.retryAfter > Duration{ 0 });
+}
