Bound the permits that a gateway takes from one answer

A malformed answer could permit any number of calls, each of which takes a place in memory. GatewayLimits.boundsThePermitsOfAnAnswer covers it; it was not run on the code before, where it would have tried to allocate 2^63 entries.

--- a/src/gateway/call_limit.cpp
+++ b/src/gateway/call_limit.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-/// Bounds the memory of `demand`; a report never needs to request more calls.
-constexpr std::size_t kMaxDemand = 1024;
+/// Bounds the memory of `demand` and `permits`.
+constexpr std::size_t kMaxCalls = 1024;
 
 void
 dropUntil(std::deque<TimePoint>& aTimes, TimePoint aTime)
@@ -32,6 +32,14 @@
   return !isLimited(aLimit, aNow) || !aLimit.permits.empty();
 }
 
+void
+addPermits(CallLimit& aLimit, std::int64_t aCalls, TimePoint aExpiresAt)
+{
+  const auto calls = static_cast<std::size_t>(std::max<std::int64_t>(aCalls, 0));
+  const auto room = kMaxCalls - std::min(kMaxCalls, aLimit.permits.size());
+  aLimit.permits.insert(aLimit.permits.end(), std::min(calls, room), aExpiresAt);
+}
+
 void
 recordCall(CallLimit& aLimit, TimePoint aNow) noexcept
 {
@@ -43,7 +51,7 @@
 void
 recordDemand(CallLimit& aLimit, TimePoint aNow)
 {
-  if (isLimited(aLimit, aNow) && aLimit.demand.size() < kMaxDemand) {
+  if (isLimited(aLimit, aNow) && aLimit.demand.size() < kMaxCalls) {
     aLimit.demand.push_back(aNow);
   }
 }
--- a/src/gateway/call_limit.h
+++ b/src/gateway/call_limit.h
@@ -29,6 +29,10 @@
 bool
 mayCall(CallLimit& aLimit, TimePoint aNow);
 
+/// Adds calls that the leader permits.
+void
+addPermits(CallLimit& aLimit, std::int64_t aCalls, TimePoint aExpiresAt);
+
 /// Uses a permit if the upstream is limited.
 void
 recordCall(CallLimit& aLimit, TimePoint aNow) noexcept;
--- a/src/gateway/permits.cpp
+++ b/src/gateway/permits.cpp
@@ -49,9 +49,7 @@
   const auto wanted = aPoll.wanted.find(aPermit.upstream);
   limit.exhausted = wanted != aPoll.wanted.end() && aPermit.calls < wanted->second;
   // The leader may have permitted the calls at any time since the poll was sent.
-  const auto expiresAt = aPoll.at + aState.options.permitTime;
-  limit.permits.insert(
-    limit.permits.end(), static_cast<std::size_t>(std::max<std::int64_t>(aPermit.calls, 0)), expiresAt);
+  addPermits(limit, aPermit.calls, aPoll.at + aState.options.permitTime);
 }
 
 /// Ends the limits that the leader no longer lists although it has received this gateway's report of them.
--- a/tests/gateway/limits_test.cpp
+++ b/tests/gateway/limits_test.cpp
@@ -1,5 +1,7 @@
 #include "fixture.h"
 
+#include <limits>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace rhubarbarch;
@@ -117,6 +119,15 @@
   CHECK(fleet.take<StartCall>().empty());
 }
 
+// Guards against one malformed answer filling the memory of a gateway.
+TEST(GatewayLimits, boundsThePermitsOfAnAnswer)
+{
+  limitDesks();
+  permit({ { "d1", 2.0, std::numeric_limits<std::int64_t>::max() }, { "d2", 2.0, -1 } });
+  fleet.call("/order/3");
+  STRCMP_EQUAL("d1", fleet.takeOne<StartCall>().upstreamId.c_str());
+}
+
 // Guards against refusing a request that the leader would permit, and against holding it once the leader permits none.
 TEST(GatewayLimits, waitsForAPermitUnlessTheLeaderHasNone)
 {
