--- a/src/gateway/permits.cpp
+++ b/src/gateway/permits.cpp
@@ -149,7 +149,7 @@
     log(aState,
         Severity::kInfo,
         "upstream_limit_named",
-        { { "upstream", aUpstream.entry.id }, { "calls_per_second", *aHead.callsPerSecond } });
+        { { "upstream", aUpstream.entry.id }, { "calls_per_second", aHead.callsPerSecond.value_or(0) } });
   }
 }
 
--- a/tests/platform/request_headers_test.cpp
+++ b/tests/platform/request_headers_test.cpp
@@ -142,8 +142,8 @@
   const auto limitOf = [](const char* aText) {
     return decodeHead({}, "q1", { 200, "", { { "X-Request-Id", "q1" }, { "server-limit", aText } } }).callsPerSecond;
   };
-  DOUBLES_EQUAL(2.7, limitOf("2.7").value(), 0.0001);
-  DOUBLES_EQUAL(0, limitOf("0").value(), 0.0001);
+  DOUBLES_EQUAL(2.7, limitOf("2.7").value_or(-1), 0.0001);
+  DOUBLES_EQUAL(0, limitOf("0").value_or(-1), 0.0001);
   CHECK_FALSE(decodeHead({}, "q1", { 200, "", {} }).callsPerSecond.has_value());
   for (const auto* text : { "", "-1", "2.7 or so", "nan", "inf", "1e999" }) {
     CHECK_FALSE(limitOf(text).has_value());
--- a/tests/support/gateway_fleet.h
+++ b/tests/support/gateway_fleet.h
@@ -67,7 +67,7 @@
 
   void addGateway()
   {
-    const auto index = gateways.size();
+    const auto index = mGateways.size();
     gateway::GatewayOptions options;
     options.instance = "g" + std::to_string(index);
     options.dataCentre = "a";
@@ -78,7 +78,7 @@
     Gateway gateway;
     gateway.address = { options.instance, Role::kRouter };
     gateway.role = std::make_unique<gateway::GatewayRole>(options, Boot{ index + 1 }, std::mt19937_64(mRandom()));
-    gateways.push_back(std::move(gateway));
+    mGateways.push_back(std::move(gateway));
   }
 
   /// Lets time pass, tick by tick.
@@ -90,9 +90,9 @@
         readList();
       }
       answerCalls();
-      for (std::size_t i = 0; i < gateways.size(); ++i) {
+      for (std::size_t i = 0; i < mGateways.size(); ++i) {
         receive(i, controllers.leader());
-        if (!gateways[i].frozen) {
+        if (!mGateways[i].frozen) {
           callers(i);
           handle(i, gateway::Tick{});
         }
@@ -111,9 +111,9 @@
   }
 
   /// Cuts a gateway off from all controllers, or connects it again.
-  void cutOff(std::size_t aGateway, bool aCut) { gateways[aGateway].cut = aCut; }
+  void cutOff(std::size_t aGateway, bool aCut) { mGateways[aGateway].cut = aCut; }
   /// Stops a gateway as a suspended machine would be, or lets it go on.
-  void freeze(std::size_t aGateway, bool aFrozen) { gateways[aGateway].frozen = aFrozen; }
+  void freeze(std::size_t aGateway, bool aFrozen) { mGateways[aGateway].frozen = aFrozen; }
   /// Cuts the leader off from everyone, or connects all controllers again.
   void cutLeader() { controllers.cut.insert(controllers.leader()); }
   void healControllers() { controllers.cut.clear(); }
@@ -240,7 +240,7 @@
       call.maxOutputTokens = 10;
       const auto session = std::to_string(std::uniform_int_distribution<int>(0, 199)(mRandom));
       call.prompt = { { "s" + session, 500 }, { call.requestId, 200 } };
-      gateways[aGateway].callers[call.caller] = controllers.now;
+      mGateways[aGateway].callers[call.caller] = controllers.now;
       handle(aGateway, call);
     }
   }
@@ -248,9 +248,9 @@
   void answerCalls()
   {
     for (const auto& call : std::exchange(mCalls, {})) {
-      if (call.answerAt > controllers.now || gateways[call.gateway].frozen) {
+      if (call.answerAt > controllers.now || mGateways[call.gateway].frozen) {
         mCalls.push_back(call);
-      } else if (gateways[call.gateway].calls.erase(call.exchange) > 0) {
+      } else if (mGateways[call.gateway].calls.erase(call.exchange) > 0) {
         answer(call);
       }
     }
@@ -281,7 +281,7 @@
 
   void handle(std::size_t aGateway, const gateway::Event& aEvent)
   {
-    auto& gateway = gateways[aGateway];
+    auto& gateway = mGateways[aGateway];
     for (auto& action : gateway.role->handle(aEvent, controllers.now)) {
       if (auto* sent = std::get_if<gateway::Send>(&action)) {
         send(aGateway, sent->to, sent->message);
@@ -299,17 +299,17 @@
 
   void send(std::size_t aGateway, const Address& aTo, const Message& aMessage)
   {
-    if (gateways[aGateway].cut || aTo.role != Role::kController || controllers.cut.contains(aTo.instance)) {
+    if (mGateways[aGateway].cut || aTo.role != Role::kController || controllers.cut.contains(aTo.instance)) {
       return;
     }
-    controllers.sendTo(aTo.instance, gateways[aGateway].address, aMessage);
+    controllers.sendTo(aTo.instance, mGateways[aGateway].address, aMessage);
     receive(aGateway, aTo.instance);
   }
 
   void receive(std::size_t aGateway, const InstanceId& aFrom)
   {
-    auto messages = std::exchange(controllers.inboxes[gateways[aGateway].address], {});
-    if (gateways[aGateway].cut || gateways[aGateway].frozen) {
+    auto messages = std::exchange(controllers.inboxes[mGateways[aGateway].address], {});
+    if (mGateways[aGateway].cut || mGateways[aGateway].frozen) {
       return;
     }
     for (auto& message : messages) {
@@ -330,14 +330,14 @@
     if (!call.otherInstance) {
       found->arrivals.push_back({ controllers.now, aGateway });
     }
-    gateways[aGateway].calls.insert(aCall.exchange);
+    mGateways[aGateway].calls.insert(aCall.exchange);
     mCalls.push_back(call);
   }
 
   std::mt19937_64 mRandom;
   std::uint64_t mCallers = 0;
   std::vector<Call> mCalls;
-  std::vector<Gateway> gateways;
+  std::vector<Gateway> mGateways;
 };
 
 } // namespace rhubarbarch::testing
