Log the prompt parts of calls that broke off before their first event

Operators could not see what the calls that an engine held when it ended have in common: attempt_lost names no parts of the prompt. broken_off_before_event does, with whether an answer had begun.

--- a/src/gateway/attempts.cpp
+++ b/src/gateway/attempts.cpp
@@ -15,6 +15,8 @@
 /// Limit on sends of one request, including those refused as not run; more would add load to a service that is full.
 constexpr int kMaxSends = 3;
 constexpr std::int32_t kFirstServerError = 500;
+/// Limit on the length of a log line.
+constexpr std::size_t kMaxLoggedParts = 8;
 
 /// @return whether another upstream may run the request although an earlier one may have run it
 bool
@@ -119,6 +121,23 @@
         { "retries", aRetries } });
 }
 
+/// Logs which parts of a prompt an upstream was working on when it broke off before the first event.
+void
+logBrokenOff(State& aState, const Request& aRequest)
+{
+  const auto& parts = aRequest.call.prompt;
+  const auto shared = std::min(parts.empty() ? 0 : parts.size() - 1, kMaxLoggedParts);
+  auto ids = nlohmann::json::array();
+  std::for_each_n(parts.begin(), shared, [&](const PromptPart& aPart) { ids.push_back(aPart.id); });
+  log(aState,
+      Severity::kInfo,
+      "broken_off_before_event",
+      { { "request", aRequest.call.requestId },
+        { "upstream", aRequest.attempt->upstreamId },
+        { "answer_begun", aRequest.attempt->head != nullptr },
+        { "shared_parts", std::move(ids) } });
+}
+
 /// Fails the current attempt and starts another one, or fails the request if no further attempt is allowed.
 /// @param aMayHaveRun whether the upstream may have run the request
 /// @param aReceived whether the upstream received the request
@@ -365,6 +384,9 @@
       recordAnswer(*upstream, true, aState.now);
     }
   }
+  if (aError.sent && !aError.silent && !request->attempt->firstBytes) {
+    logBrokenOff(aState, *request);
+  }
   failAttempt(aState, *request, aError.detail, aError.sent, aError.sent);
 }
 
