Add a failing test for a prompt part that crashes engines

Seven gateways, nine engines, three in a hundred requests with a part that crashes the engine as it begins to answer; engines come back after 3.5 s.

--- a/tests/support/gateway_fleet.h
+++ b/tests/support/gateway_fleet.h
@@ -38,6 +38,15 @@
     std::vector<Arrival> arrivals;
     std::map<std::size_t, TimePoint> toldAt; ///< when a gateway first got an answer that names the limit
     TimePoint coldUntil;
+    TimePoint downUntil; ///< it has crashed and refuses connections until then
+  };
+
+  /// Requests that crash the engine that begins to answer them. None of the fields is set by default.
+  struct Crashing
+  {
+    std::string part; ///< the part of the prompt that crashes engines
+    double share = 0; ///< of all requests
+    Duration restartTime{ 3500 };
   };
 
   struct Reply
@@ -46,6 +55,7 @@
     std::int32_t status = 0;
     Duration retryAfter{ 0 };
     Duration waited{ 0 };
+    bool crashing = false; ///< to a request that crashes engines
   };
 
   GatewayFleet(std::size_t aGateways, std::size_t aEngines, std::uint64_t aSeed)
@@ -65,21 +75,7 @@
     run(Duration{ 1000 });
   }
 
-  void addGateway()
-  {
-    const auto index = mGateways.size();
-    gateway::GatewayOptions options;
-    options.instance = "g" + std::to_string(index);
-    options.dataCentre = "a";
-    options.endpoint = options.instance + ":7000";
-    options.controllers = { "c1", "c2", "c3" };
-    options.retryRatio = 0.2;
-    options.retrySlack = 60;
-    Gateway gateway;
-    gateway.address = { options.instance, Role::kRouter };
-    gateway.role = std::make_unique<gateway::GatewayRole>(options, Boot{ index + 1 }, std::mt19937_64(mRandom()));
-    mGateways.push_back(std::move(gateway));
-  }
+  void addGateway() { mGateways.push_back(makeGateway(mGateways.size(), ++mBoots)); }
 
   /// Lets time pass, tick by tick.
   void run(Duration aTime)
@@ -89,6 +85,7 @@
       if (controllers.now.time_since_epoch() % kListPeriod == Duration{ 0 }) {
         readList();
       }
+      restartCrashed();
       answerCalls();
       for (std::size_t i = 0; i < mGateways.size(); ++i) {
         receive(i, controllers.leader());
@@ -110,6 +107,46 @@
     readList();
   }
 
+  /// Crashes an engine: its calls break off, and it comes back under a new id.
+  void crash(std::size_t aEngine)
+  {
+    auto& engine = engines[aEngine];
+    engine.downUntil = controllers.now + crashing.restartTime;
+    crashes.push_back(controllers.now);
+    for (const auto& call : std::exchange(mCalls, {})) {
+      if (call.engine != aEngine) {
+        mCalls.push_back(call);
+      } else if (mGateways[call.gateway].calls.erase(call.exchange) > 0) {
+        handle(call.gateway, gateway::UpstreamError{ call.exchange, true, false, "answer: end of stream" });
+      }
+    }
+  }
+
+  /// @return the calls that crash engines and reached one later than `aFrom`
+  std::size_t crashingArrivals(TimePoint aFrom) const
+  {
+    return static_cast<std::size_t>(
+      std::ranges::count_if(mCrashingArrivals, [&](const auto& aEach) { return aEach.second > aFrom; }));
+  }
+
+  /// @return the share of the sound requests answered since `aFrom` that were served
+  double soundServed(TimePoint aFrom) const
+  {
+    const auto sound = [&](const Reply& aEach) { return !aEach.crashing && aEach.at >= aFrom; };
+    const auto all = std::ranges::count_if(replies, sound);
+    const auto served =
+      std::ranges::count_if(replies, [&](const Reply& aEach) { return sound(aEach) && aEach.status == 200; });
+    return all == 0 ? 0 : static_cast<double>(served) / static_cast<double>(all);
+  }
+
+  /// Replaces a gateway by a new process, as after a kill.
+  void restartGateway(std::size_t aGateway)
+  {
+    auto& gateway = mGateways[aGateway];
+    gateway = makeGateway(aGateway, ++mBoots);
+    controllers.inboxes.erase(gateway.address);
+  }
+
   /// Cuts a gateway off from all controllers, or connects it again.
   void cutOff(std::size_t aGateway, bool aCut) { mGateways[aGateway].cut = aCut; }
   /// Stops a gateway as a suspended machine would be, or lets it go on.
@@ -163,17 +200,26 @@
   static constexpr double kColdCallsPerSecond = 12; ///< of each engine while it is cold
   double callsPerSecond = 10;                       ///< of the callers of each gateway
   Duration serviceTime{ 100 };
+  Crashing crashing;
+  std::vector<TimePoint> crashes; ///< of all engines
+  std::vector<LogLine> lines;     ///< of all gateways
 
 private:
   static constexpr Duration kListPeriod{ 400 };
 
+  struct Caller
+  {
+    TimePoint since;
+    bool crashing = false;
+  };
+
   struct Gateway
   {
     Address address;
     std::unique_ptr<gateway::GatewayRole> role;
     bool cut = false;
     bool frozen = false;
-    std::map<gateway::CallerId, TimePoint> callers;
+    std::map<gateway::CallerId, Caller> callers;
     std::set<gateway::ExchangeId> calls;
   };
 
@@ -184,8 +230,35 @@
     gateway::ExchangeId exchange{};
     std::size_t engine = 0;
     bool otherInstance = false; ///< the engine that was meant has been replaced
+    bool refused = false;       ///< the engine is down
+    bool crashing = false;      ///< crashes the engine that begins to answer it
   };
 
+  Gateway makeGateway(std::size_t aIndex, std::uint64_t aBoot)
+  {
+    gateway::GatewayOptions options;
+    options.instance = "g" + std::to_string(aIndex);
+    options.dataCentre = "a";
+    options.endpoint = options.instance + ":7000";
+    options.controllers = { "c1", "c2", "c3" };
+    options.retryRatio = 0.2;
+    options.retrySlack = 60;
+    Gateway gateway;
+    gateway.address = { options.instance, Role::kRouter };
+    gateway.role = std::make_unique<gateway::GatewayRole>(options, Boot{ aBoot }, std::mt19937_64(mRandom()));
+    return gateway;
+  }
+
+  void restartCrashed()
+  {
+    for (auto& engine : engines) {
+      if (engine.downUntil != TimePoint{} && engine.downUntil <= controllers.now) {
+        engine.downUntil = {};
+        engine.entry.id += "'";
+      }
+    }
+  }
+
   static controller::ControllerOptions controllerOptions()
   {
     controller::ControllerOptions options;
@@ -240,17 +313,26 @@
       call.maxOutputTokens = 10;
       const auto session = std::to_string(std::uniform_int_distribution<int>(0, 199)(mRandom));
       call.prompt = { { "s" + session, 500 }, { call.requestId, 200 } };
-      mGateways[aGateway].callers[call.caller] = controllers.now;
+      if (std::bernoulli_distribution(crashing.share)(mRandom)) {
+        call.prompt.insert(call.prompt.end() - 1, { crashing.part, 100 });
+        mCrashing.insert(call.requestId);
+      }
+      mGateways[aGateway].callers[call.caller] = { controllers.now, mCrashing.contains(call.requestId) };
       handle(aGateway, call);
     }
   }
 
   void answerCalls()
   {
-    for (const auto& call : std::exchange(mCalls, {})) {
-      if (call.answerAt > controllers.now || mGateways[call.gateway].frozen) {
-        mCalls.push_back(call);
-      } else if (mGateways[call.gateway].calls.erase(call.exchange) > 0) {
+    std::vector<Call> due;
+    const auto waits = [&](const Call& aCall) {
+      return aCall.answerAt > controllers.now || mGateways[aCall.gateway].frozen;
+    };
+    const auto first = std::stable_partition(mCalls.begin(), mCalls.end(), waits);
+    std::move(first, mCalls.end(), std::back_inserter(due));
+    mCalls.erase(first, mCalls.end());
+    for (const auto& call : due) {
+      if (mGateways[call.gateway].calls.erase(call.exchange) > 0) {
         answer(call);
       }
     }
@@ -261,6 +343,14 @@
     auto& engine = engines[aCall.engine];
     gateway::UpstreamHead head;
     head.exchange = aCall.exchange;
+    if (aCall.refused) {
+      handle(aCall.gateway, gateway::UpstreamError{ aCall.exchange, false, false, "connect: Connection refused" });
+      return;
+    }
+    if (controllers.now < engine.downUntil) { // it crashed earlier in this tick
+      handle(aCall.gateway, gateway::UpstreamError{ aCall.exchange, true, false, "answer: end of stream" });
+      return;
+    }
     if (aCall.otherInstance) {
       head.status = 421;
       head.otherInstance = true;
@@ -275,6 +365,12 @@
       engine.toldAt.try_emplace(aCall.gateway, controllers.now);
     }
     handle(aCall.gateway, head);
+    if (aCall.crashing) {
+      handle(aCall.gateway, gateway::UpstreamData{ aCall.exchange, "id: 1\nda" });
+      handle(aCall.gateway, gateway::UpstreamError{ aCall.exchange, true, false, "answer: partial message" });
+      crash(aCall.engine);
+      return;
+    }
     handle(aCall.gateway, gateway::UpstreamData{ aCall.exchange, "id: 1\ndata: x\n\n" });
     handle(aCall.gateway, gateway::UpstreamEnd{ aCall.exchange });
   }
@@ -290,9 +386,12 @@
       } else if (const auto* cancel = std::get_if<gateway::CancelCall>(&action)) {
         gateway.calls.erase(cancel->exchange);
       } else if (const auto* head = std::get_if<gateway::ReplyHead>(&action)) {
-        const auto since = gateway.callers.extract(head->caller);
-        const auto waited = since.empty() ? Duration{ 0 } : controllers.now - since.mapped();
-        replies.push_back({ controllers.now, head->httpStatus, head->retryAfter, waited });
+        const auto caller = gateway.callers.extract(head->caller);
+        const auto known = caller.empty() ? Caller{ controllers.now } : caller.mapped();
+        replies.push_back(
+          { controllers.now, head->httpStatus, head->retryAfter, controllers.now - known.since, known.crashing });
+      } else if (auto* log = std::get_if<gateway::Log>(&action)) {
+        lines.push_back(std::move(log->line));
       }
     }
   }
@@ -325,17 +424,26 @@
     call.gateway = aGateway;
     call.exchange = aCall.exchange;
     call.engine = static_cast<std::size_t>(found - engines.begin());
+    call.refused = controllers.now < found->downUntil;
     call.otherInstance = found->entry.id != aCall.upstreamId;
-    call.answerAt = controllers.now + (call.otherInstance ? kTickPeriod : serviceTime);
-    if (!call.otherInstance) {
+    call.crashing = mCrashing.contains(aCall.requestId);
+    const bool arrives = !call.refused && !call.otherInstance;
+    call.answerAt = controllers.now + (arrives ? serviceTime : kTickPeriod);
+    if (arrives) {
       found->arrivals.push_back({ controllers.now, aGateway });
     }
+    if (arrives && call.crashing) {
+      mCrashingArrivals.emplace_back(aGateway, controllers.now);
+    }
     mGateways[aGateway].calls.insert(aCall.exchange);
     mCalls.push_back(call);
   }
 
   std::mt19937_64 mRandom;
   std::uint64_t mCallers = 0;
+  std::uint64_t mBoots = 0;
+  std::set<std::string> mCrashing;                                  ///< ids of requests that crash engines
+  std::vector<std::pair<std::size_t, TimePoint>> mCrashingArrivals; ///< gateway and time
   std::vector<Call> mCalls;
   std::vector<Gateway> mGateways;
 };
