Quarantine prompt parts that crash engines

Callers saw their streams cut and 502 for half a minute, as one engine after the other ended: nothing related the end of an engine to the request that it had begun to answer, so each gateway sent every request with the part on, twice a call. Class of fault: a failure that the request brings along is taken for one of the upstream, and tried again elsewhere.

Gateways report such calls with the parts of the prompt but the last; the leader asks all gateways when each part was last answered soundly, and holds the part with the oldest sound answer for the cause. After crashes of three upstreams under three different requests the part is quarantined in the replicated state, and gateways refuse requests with it (503, Retry-After 60 s), end calls that have not begun, and do not retry suspected ones. A part is released when no request has come for it for ten minutes. Repeats of one request do not count for a part.

--- a/include/rhubarbarch/controller/options.h
+++ b/include/rhubarbarch/controller/options.h
@@ -64,9 +64,14 @@
   Duration documentPause{ 800 };     ///< before a complete document is sent again: a poll period and a slow transfer
   std::size_t documentsRetained = 8; ///< base versions of deltas; gateways with an older one get the complete document
   Tokens nearEndDivisor = 16;        ///< below 1/divisor of a budget, every answer includes the remaining tokens
-  Duration limitRemovalDelay{ 1000 }; ///< a limit ends once answers without it are this much later than those with it
-  Duration limitRetention{ 5000 };    ///< a limit that no gateway reports for this long is forgotten
-  Duration permitBurst{ 250 };        ///< unused calls of a limit accumulate for this long
+  Duration limitRemovalDelay{ 1000 };  ///< a limit ends once answers without it are this much later than those with it
+  Duration limitRetention{ 5000 };     ///< a limit that no gateway reports for this long is forgotten
+  Duration permitBurst{ 250 };         ///< unused calls of a limit accumulate for this long
+  std::size_t crashesToQuarantine = 3; ///< of different upstreams, by as many different requests with the subject
+  Duration crashSettleTime{ 250 };     ///< over one poll: gateways report sound answers before a crash counts
+  Duration crashRetention{ 600'000 };  ///< older crashes no longer count
+  Duration quarantineTime{ 600'000 };  ///< a subject is released when no request has come for it for this long
+  std::size_t maxSuspects = 64;        ///< subjects that gateways are asked for at a time
 };
 
 /// Settings of the controller role.
--- a/include/rhubarbarch/state/replicated_state.h
+++ b/include/rhubarbarch/state/replicated_state.h
@@ -7,6 +7,7 @@
 #include "rhubarbarch/state/ledger.h"
 #include "rhubarbarch/state/lists.h"
 #include "rhubarbarch/state/moves.h"
+#include "rhubarbarch/state/quarantine.h"
 #include "rhubarbarch/state/routing.h"
 #include "rhubarbarch/state/sessions.h"
 
@@ -28,6 +29,7 @@
   RoutingState routing;
   Allowances allowances;
   Evacuations evacuations;
+  Quarantine quarantine;
 };
 
 /// Commands of the replicated log. Times are part of a command; applying one reads no clock.
@@ -54,7 +56,8 @@
                              OpenGateway,
                              ReportAllowances,
                              ReportBatch,
-                             SetEvacuation>;
+                             SetEvacuation,
+                             SetQuarantine>;
 
 /// Result of a command, for the answer to its sender.
 using Outcome = std::variant<std::monostate,
@@ -66,7 +69,8 @@
                              MoveOutcome,
                              RoutingOutcome,
                              GatewayOutcome,
-                             EvacuationOutcome>;
+                             EvacuationOutcome,
+                             QuarantineOutcome>;
 
 /// Applies a committed command. The result depends only on the arguments.
 /// @param aState state after all entries before `aIndex`
--- a/include/rhubarbarch/wire/gateway_messages.h
+++ b/include/rhubarbarch/wire/gateway_messages.h
@@ -49,6 +49,23 @@
   std::int64_t calls = 0;
 };
 
+/// An answer that its upstream broke off before the first event, as an upstream does that crashes.
+struct BrokenAnswer
+{
+  std::string request; ///< digest of the request; equal for repeats of it under another id
+  std::string upstream;
+  std::vector<std::string> subjects; ///< what the request shares with others and may have crashed the upstream
+  std::int64_t ageMs = 0;
+};
+
+/// What a gateway knows of a subject that the leader has asked for or quarantined.
+struct SubjectReport
+{
+  std::string subject;
+  std::int64_t soundAgeMs = -1;   ///< since an answer to a request with it got past its first event; negative: never
+  std::int64_t refusedAgeMs = -1; ///< since a request was refused because of it; negative: never
+};
+
 /// Report of a gateway, repeated all the time; also its heartbeat.
 struct GatewayPoll
 {
@@ -64,6 +81,9 @@
   std::vector<PlanUse> plans;
   std::vector<UpstreamUse> upstreams;
   std::vector<LimitReport> limits; ///< of upstreams whose rate is limited
+  std::uint64_t quarantineRevision = 0;
+  std::vector<BrokenAnswer> broken; ///< lately; the same ones in each poll, as answers may be lost
+  std::vector<SubjectReport> subjects;
 };
 
 /// What the leader knows of one plan.
@@ -98,15 +118,21 @@
   std::vector<std::string> controllers; ///< endpoints of the members
   std::uint32_t gateways = 1;           ///< heard lately
   bool hasPermits = false;
+  bool hasQuarantine = false;
   std::uint64_t evacuationsRevision = 0; ///< log index of the last change of `evacuated`
   std::vector<DataCentre> evacuated;     ///< data centres whose upstreams get no new work
   std::vector<CallPermit> permits;       ///< all upstreams whose rate is limited
+  std::vector<std::string> suspects;     ///< subjects of broken answers; the gateway reports what it knows of them
+  std::uint64_t quarantineRevision = 0;  ///< log index of the last change of `quarantined`
+  std::vector<std::string> quarantined;  ///< requests with one of these subjects must not reach an upstream
 };
 
 RHUBARBARCH_DECLARE_FIELDS(PlanUse)
 RHUBARBARCH_DECLARE_FIELDS(UpstreamUse)
 RHUBARBARCH_DECLARE_FIELDS(LimitReport)
 RHUBARBARCH_DECLARE_FIELDS(CallPermit)
+RHUBARBARCH_DECLARE_FIELDS(BrokenAnswer)
+RHUBARBARCH_DECLARE_FIELDS(SubjectReport)
 RHUBARBARCH_DECLARE_FIELDS(GatewayPoll)
 RHUBARBARCH_DECLARE_FIELDS(PlanAllowance)
 RHUBARBARCH_DECLARE_FIELDS(GatewayState)
--- /dev/null
+++ b/src/controller/crash_suspects.cpp
@@ -0,0 +1,166 @@
+#include "crash_suspects.h"
+
+#include <algorithm>
+#include <iterator>
+#include <optional>
+
+namespace rhubarbarch::controller {
+
+namespace {
+
+/// Limit on the crashes that are remembered, and on the subjects of each.
+constexpr std::size_t kMaxCrashes = 256;
+constexpr std::size_t kMaxSubjects = 16;
+
+/// @return time of the last sound answer; the earliest time if there was none
+TimePoint
+soundAt(const CrashSuspects& aSuspects, const std::string& aSubject)
+{
+  const auto found = aSuspects.soundAt.find(aSubject);
+  return found == aSuspects.soundAt.end() ? TimePoint::min() : found->second;
+}
+
+/// Calls `aCount` for each subject that may have caused a crash: no sound answer since then, and no other subject of
+/// the request whose last sound answer is older.
+template<typename Function>
+void
+forEachCause(const CrashSuspects& aSuspects, const Crash& aCrash, Function&& aCount)
+{
+  auto oldest = TimePoint::max();
+  for (const auto& subject : aCrash.subjects) {
+    oldest = std::min(oldest, soundAt(aSuspects, subject));
+  }
+  if (oldest >= aCrash.at) {
+    return;
+  }
+  for (const auto& subject : aCrash.subjects) {
+    if (soundAt(aSuspects, subject) == oldest) {
+      aCount(subject);
+    }
+  }
+}
+
+struct Explained
+{
+  std::set<std::string> upstreams;
+  std::set<std::string> requests;
+};
+
+bool
+isKnown(const CrashSuspects& aSuspects, const BrokenAnswer& aReport)
+{
+  return std::ranges::any_of(aSuspects.crashes, [&](const Crash& aEach) {
+    return aEach.request == aReport.request && aEach.upstream == aReport.upstream;
+  });
+}
+
+bool
+isSuspect(const CrashSuspects& aSuspects, const std::string& aSubject)
+{
+  return std::ranges::any_of(aSuspects.crashes, [&](const Crash& aEach) {
+    return std::ranges::find(aEach.subjects, aSubject) != aEach.subjects.end();
+  });
+}
+
+} // namespace
+
+bool
+recordCrashes(CrashSuspects& aSuspects, const std::vector<BrokenAnswer>& aReports, TimePoint aNow)
+{
+  bool added = false;
+  for (const auto& report : aReports) {
+    if (report.subjects.empty() || report.subjects.size() > kMaxSubjects || isKnown(aSuspects, report)) {
+      continue;
+    }
+    added = added || std::ranges::any_of(report.subjects,
+                                         [&](const std::string& aEach) { return !isSuspect(aSuspects, aEach); });
+    const auto age = Duration(std::max<std::int64_t>(report.ageMs, 0));
+    aSuspects.crashes.push_back({ report.request, report.upstream, report.subjects, aNow - age, aNow });
+    if (aSuspects.crashes.size() > kMaxCrashes) {
+      aSuspects.crashes.pop_front();
+    }
+  }
+  return added;
+}
+
+void
+recordSubjects(CrashSuspects& aSuspects, const std::vector<SubjectReport>& aReports, TimePoint aNow)
+{
+  for (const auto& report : aReports) {
+    if (report.soundAgeMs >= 0 && isSuspect(aSuspects, report.subject)) {
+      auto& at = aSuspects.soundAt.try_emplace(report.subject, TimePoint::min()).first->second;
+      at = std::max(at, aNow - Duration(report.soundAgeMs));
+    }
+    if (report.refusedAgeMs >= 0) {
+      if (const auto active = aSuspects.activeAt.find(report.subject); active != aSuspects.activeAt.end()) {
+        active->second = std::max(active->second, aNow - Duration(report.refusedAgeMs));
+      }
+    }
+  }
+}
+
+void
+expireCrashes(CrashSuspects& aSuspects,
+              const std::set<std::string>& aQuarantined,
+              const GatewayOptions& aOptions,
+              TimePoint aNow)
+{
+  std::erase_if(aSuspects.crashes, [&](const Crash& aEach) {
+    return aNow - aEach.at >= aOptions.crashRetention ||
+           std::ranges::any_of(aEach.subjects, [&](const auto& aSubject) { return aQuarantined.contains(aSubject); });
+  });
+  std::erase_if(aSuspects.soundAt, [&](const auto& aItem) { return !isSuspect(aSuspects, aItem.first); });
+}
+
+std::vector<std::string>
+suspects(const CrashSuspects& aSuspects, const GatewayOptions& aOptions)
+{
+  std::vector<std::string> found;
+  for (auto crash = aSuspects.crashes.rbegin(); crash != aSuspects.crashes.rend(); ++crash) {
+    for (const auto& subject : crash->subjects) {
+      if (found.size() < aOptions.maxSuspects && std::ranges::find(found, subject) == found.end()) {
+        found.push_back(subject);
+      }
+    }
+  }
+  return found;
+}
+
+std::string
+findCause(const CrashSuspects& aSuspects, const GatewayOptions& aOptions, TimePoint aNow)
+{
+  std::map<std::string, Explained> explained;
+  for (const auto& crash : aSuspects.crashes) {
+    if (aNow - crash.reportedAt < aOptions.crashSettleTime) {
+      continue;
+    }
+    forEachCause(aSuspects, crash, [&](const std::string& aSubject) {
+      explained[aSubject].upstreams.insert(crash.upstream);
+      explained[aSubject].requests.insert(crash.request);
+    });
+  }
+  const auto explains = [&](const auto& aItem) {
+    return std::min(aItem.second.upstreams.size(), aItem.second.requests.size());
+  };
+  const auto most = std::ranges::max_element(explained, {}, explains);
+  return most == explained.end() || explains(*most) < aOptions.crashesToQuarantine ? std::string{} : most->first;
+}
+
+std::vector<std::string>
+findInactive(CrashSuspects& aSuspects,
+             const std::set<std::string>& aQuarantined,
+             const GatewayOptions& aOptions,
+             TimePoint aNow)
+{
+  std::erase_if(aSuspects.activeAt, [&](const auto& aItem) { return !aQuarantined.contains(aItem.first); });
+  std::vector<std::string> inactive;
+  for (const auto& subject : aQuarantined) {
+    const auto& activeAt = aSuspects.activeAt.try_emplace(subject, aNow).first->second;
+    if (aNow - activeAt >= aOptions.quarantineTime) {
+      inactive.push_back(subject);
+    }
+  }
+  return inactive;
+}
+
+} // namespace rhubarbarch::controller
--- /dev/null
+++ b/src/controller/crash_suspects.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "rhubarbarch/base/time.h"
+#include "rhubarbarch/controller/options.h"
+#include "rhubarbarch/wire/gateway_messages.h"
+
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace rhubarbarch::controller {
+
+/// An answer that its upstream broke off, with the subjects that may be the cause.
+struct Crash
+{
+  std::string request; ///< digest
+  std::string upstream;
+  std::vector<std::string> subjects;
+  TimePoint at;
+  TimePoint reportedAt;
+};
+
+/// Crashes of upstreams that no quarantined subject explains, and what gateways know of their subjects.
+struct CrashSuspects
+{
+  std::deque<Crash> crashes;                ///< in the order in which they were reported
+  std::map<std::string, TimePoint> soundAt; ///< last sound answer to a request with a subject of `crashes`
+  std::map<std::string, TimePoint>
+    activeAt; ///< quarantined subjects: last request refused, or start of this leadership
+};
+
+/// Merges the broken answers that a gateway reports.
+/// @return whether they have subjects that gateways have not been asked for yet
+bool
+recordCrashes(CrashSuspects& aSuspects, const std::vector<BrokenAnswer>& aReports, TimePoint aNow);
+
+/// Merges what a gateway knows of subjects. A sound answer after a crash shows that the subject did not cause it.
+void
+recordSubjects(CrashSuspects& aSuspects, const std::vector<SubjectReport>& aReports, TimePoint aNow);
+
+/// Forgets old crashes, and those that a quarantined subject explains.
+void
+expireCrashes(CrashSuspects& aSuspects,
+              const std::set<std::string>& aQuarantined,
+              const GatewayOptions& aOptions,
+              TimePoint aNow);
+
+/// @return the subjects that gateways must report on, at most `maxSuspects`, of the latest crashes first
+std::vector<std::string>
+suspects(const CrashSuspects& aSuspects, const GatewayOptions& aOptions);
+
+/// Finds a subject that explains enough crashes. Subjects that sound requests share with the crashing ones have a later
+/// sound answer than the cause, so each crash counts for its subject with the oldest one.
+/// @return empty if there is none, or if gateways have not had the time to report sound answers
+std::string
+findCause(const CrashSuspects& aSuspects, const GatewayOptions& aOptions, TimePoint aNow);
+
+/// @return the quarantined subjects for which no request has come for `quarantineTime`
+std::vector<std::string>
+findInactive(CrashSuspects& aSuspects,
+             const std::set<std::string>& aQuarantined,
+             const GatewayOptions& aOptions,
+             TimePoint aNow);
+
+} // namespace rhubarbarch::controller
--- a/src/controller/gateways.cpp
+++ b/src/controller/gateways.cpp
@@ -1,5 +1,6 @@
 #include "controllers.h"
 #include "gateway_documents.h"
+#include "quarantine.h"
 
 #include <algorithm>
 #include <iterator>
@@ -206,6 +207,38 @@
   return plans;
 }
 
+/// An answer without routing, upstreams and plans.
+GatewayState
+minimalAnswer(const Context& aContext, const GatewayPoll& aPoll)
+{
+  GatewayState answer;
+  answer.instance = aPoll.instance;
+  answer.boot = aPoll.boot;
+  answer.number = aPoll.number;
+  answer.session = aPoll.session;
+  answer.routingVersion = aContext.state.routing.table.version;
+  answer.hasOthersUse = false;
+  answer.evacuationsRevision = toNumber(aContext.state.evacuations.changedAt);
+  answer.evacuated = aContext.state.evacuations.dataCentres;
+  addSuspects(answer, aContext);
+  addQuarantine(answer, aContext, aPoll);
+  answer.gateways = static_cast<std::uint32_t>(std::ranges::count_if(aContext.memory.gateways, [&](const auto& aItem) {
+    return hasContactWithin(aContext, aItem.first, aContext.options.gateways.gatewayTimeout);
+  }));
+  return answer;
+}
+
+/// Asks all gateways at once for what they know of new suspects, since a crash counts only after `crashSettleTime`.
+void
+askForSuspects(Context& aContext)
+{
+  for (const auto& [session, gateway] : aContext.memory.gateways) {
+    if (hasContactWithin(aContext, session, aContext.options.gateways.gatewayTimeout)) {
+      send(aContext, gateway.from, minimalAnswer(aContext, gateway.poll));
+    }
+  }
+}
+
 void
 recordPoll(Context& aContext, const Address& aFrom, const GatewayPoll& aPoll, const state::GatewaySession& aSession)
 {
@@ -217,6 +250,8 @@
   gateway.poll = aPoll;
   gateway.poll.plans.clear();
   gateway.poll.upstreams.clear();
+  gateway.poll.broken.clear();
+  gateway.poll.subjects.clear();
   for (const auto& use : aPoll.plans) {
     gateway.uses[use.plan] = use;
     updateSessionSum(aContext, aPoll.session, aSession, use.plan);
@@ -227,6 +262,9 @@
     }
   }
   recordLimits(memory.limits, aPoll.limits, aContext.now);
+  if (recordEvidence(aContext, aPoll)) {
+    askForSuspects(aContext);
+  }
   if (!aPoll.partial) {
     updateUpstreamSums(memory.sums, aPoll.session, aPoll.upstreams);
   }
@@ -240,25 +278,6 @@
   return found != aContext.memory.gateways.end() && aPoll.number <= found->second.poll.number;
 }
 
-/// An answer without routing, upstreams and plans.
-GatewayState
-minimalAnswer(const Context& aContext, const GatewayPoll& aPoll)
-{
-  GatewayState answer;
-  answer.instance = aPoll.instance;
-  answer.boot = aPoll.boot;
-  answer.number = aPoll.number;
-  answer.session = aPoll.session;
-  answer.routingVersion = aContext.state.routing.table.version;
-  answer.hasOthersUse = false;
-  answer.evacuationsRevision = toNumber(aContext.state.evacuations.changedAt);
-  answer.evacuated = aContext.state.evacuations.dataCentres;
-  answer.gateways = static_cast<std::uint32_t>(std::ranges::count_if(aContext.memory.gateways, [&](const auto& aItem) {
-    return hasContactWithin(aContext, aItem.first, aContext.options.gateways.gatewayTimeout);
-  }));
-  return answer;
-}
-
 /// Adds the calls that a poll's answers permit. An answer to an earlier poll than the last one permits none.
 void
 addPermits(GatewayState& aAnswer, Context& aContext, const GatewayPoll& aPoll)
@@ -505,6 +524,7 @@
   }
   proposeReports(aContext);
   expireLimits(memory.limits, aContext.options.gateways, aContext.now);
+  tickQuarantine(aContext);
   for (auto& [session, gateway] : memory.gateways) {
     if (!hasContactWithin(aContext, session, aContext.options.gateways.gatewayTimeout) &&
         memory.sums.upstreamsBySession.contains(session)) {
--- a/src/controller/memory.h
+++ b/src/controller/memory.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "call_limits.h"
+#include "crash_suspects.h"
 #include "fleet_sums.h"
 
 #include "rhubarbarch/base/time.h"
@@ -191,6 +192,8 @@
   std::map<std::int64_t, RoutingDelta> documentDeltas; ///< to the document in force, by the version they apply to
   FleetSums sums;
   CallLimits limits;
+  CrashSuspects crashSuspects;
+  bool quarantineProposed = false; ///< a change of the quarantine is proposed but not yet applied
   ReportQueue reports;
   std::map<PlanId, std::map<SessionId, TimePoint>> waitingFor; ///< sessions with waiting requests, time of last report
   std::map<PlanId, TimePoint> recalledAt; ///< when the holders of a plan's tokens were last searched
--- a/src/gateway/attempts.cpp
+++ b/src/gateway/attempts.cpp
@@ -15,8 +15,8 @@
 /// Limit on sends of one request, including those refused as not run; more would add load to a service that is full.
 constexpr int kMaxSends = 3;
 constexpr std::int32_t kFirstServerError = 500;
-/// Limit on the length of a log line.
-constexpr std::size_t kMaxLoggedParts = 8;
+/// An upstream that has sent this many events did not crash as it began to answer.
+constexpr std::int64_t kSoundEvents = 2;
 
 /// @return whether another upstream may run the request although an earlier one may have run it
 bool
@@ -44,7 +44,8 @@
 bool
 mayRetry(State& aState, const Request& aRequest, bool aReceived)
 {
-  if (aRequest.expiresAt - aState.now < aState.options.minAttemptTime || aRequest.sends >= kMaxSends) {
+  if (aRequest.expiresAt - aState.now < aState.options.minAttemptTime || aRequest.sends >= kMaxSends ||
+      (aReceived && aRequest.mayCrash)) {
     return false;
   }
   if (aRequest.mayHaveRun > 0 && (!repeatable(aRequest) || aRequest.mayHaveRun >= aRequest.route->maxAttempts)) {
@@ -107,6 +108,15 @@
   recordTime(*upstream, aState.now - attempt.startedAt, attempt.expected, aRequest.service->isEngine, aState.now);
 }
 
+/// Records that the current answer has got past its first event, or is complete.
+void
+recordSoundAnswer(State& aState, Request& aRequest)
+{
+  if (!std::exchange(aRequest.attempt->sound, true)) {
+    recordSound(aState.crashes, aRequest.call, aState.now);
+  }
+}
+
 void
 logAttemptFailed(State& aState, const Request& aRequest, const std::string& aReason, bool aRetries)
 {
@@ -121,23 +131,6 @@
         { "retries", aRetries } });
 }
 
-/// Logs which parts of a prompt an upstream was working on when it broke off before the first event.
-void
-logBrokenOff(State& aState, const Request& aRequest)
-{
-  const auto& parts = aRequest.call.prompt;
-  const auto shared = std::min(parts.empty() ? 0 : parts.size() - 1, kMaxLoggedParts);
-  auto ids = nlohmann::json::array();
-  std::for_each_n(parts.begin(), shared, [&](const PromptPart& aPart) { ids.push_back(aPart.id); });
-  log(aState,
-      Severity::kInfo,
-      "broken_off_before_event",
-      { { "request", aRequest.call.requestId },
-        { "upstream", aRequest.attempt->upstreamId },
-        { "answer_begun", aRequest.attempt->head != nullptr },
-        { "shared_parts", std::move(ids) } });
-}
-
 /// Fails the current attempt and starts another one, or fails the request if no further attempt is allowed.
 /// @param aMayHaveRun whether the upstream may have run the request
 /// @param aReceived whether the upstream received the request
@@ -185,6 +178,9 @@
   if (!events.empty()) {
     forwardEvents(aState, aRequest, std::move(events));
   }
+  if (aRequest.stream.events() - aRequest.attempt->eventsBefore >= kSoundEvents) {
+    recordSoundAnswer(aState, aRequest);
+  }
   if (aRequest.stream.heldBytes() > aState.options.maxEventBytes) {
     failAttempt(aState, aRequest, "event exceeds the size limit", true, true);
   }
@@ -209,6 +205,10 @@
 void
 startAttempt(State& aState, Request& aRequest)
 {
+  if (const auto refusal = checkQuarantine(aState, aRequest)) {
+    failRequest(aState, aRequest.call.caller, *refusal);
+    return;
+  }
   PlacementRequest wanted;
   wanted.service = aRequest.service;
   wanted.prompt = aRequest.call.prompt.empty() ? nullptr : &aRequest.call.prompt;
@@ -235,6 +235,7 @@
   attempt.startedAt = aState.now;
   attempt.expected = placed.expected;
   attempt.uncachedTokens = placed.uncachedTokens;
+  attempt.eventsBefore = aRequest.stream.events();
   ++upstream.running;
   upstream.prefillTokens += placed.uncachedTokens;
   upstream.cache.use(aRequest.call.prompt, aRequest.service->engine.kvTokens);
@@ -342,8 +343,10 @@
   const auto& head = *request->attempt->head;
   if (isForwardedAsStream(*request)) {
     if (request->stream.partial()) {
+      onBrokenOff(aState, *request);
       failAttempt(aState, *request, "stream ended within an event", true, true);
     } else {
+      recordSoundAnswer(aState, *request);
       endStream(aState, *request);
     }
     return;
@@ -367,6 +370,7 @@
     startAttempt(aState, *request);
     return;
   }
+  recordSoundAnswer(aState, *request);
   forwardAnswer(aState, *request);
 }
 
@@ -384,8 +388,8 @@
       recordAnswer(*upstream, true, aState.now);
     }
   }
-  if (aError.sent && !aError.silent && !request->attempt->firstBytes) {
-    logBrokenOff(aState, *request);
+  if (aError.sent && !aError.silent) {
+    onBrokenOff(aState, *request);
   }
   failAttempt(aState, *request, aError.detail, aError.sent, aError.sent);
 }
--- a/src/gateway/control.cpp
+++ b/src/gateway/control.cpp
@@ -55,6 +55,7 @@
     poll.upstreams = reportCalls(aState.upstreams);
   }
   reportLimits(aState, poll);
+  reportEvidence(aState.crashes, poll, aState.now);
   return poll;
 }
 
@@ -240,6 +241,7 @@
   link.gateways = std::max<std::uint32_t>(aAnswer.gateways, 1);
   updateControllers(aState, aAnswer.controllers);
   updateEvacuations(aState, aAnswer);
+  updateQuarantine(aState, aAnswer);
   const bool first = !aState.index;
   if (aAnswer.hasRouting) {
     updateRouting(aState, aAnswer.routing);
--- a/src/gateway/requests.cpp
+++ b/src/gateway/requests.cpp
@@ -134,6 +134,7 @@
   auto refusal = identify(aState, aRequest);
   refusal = refusal ? refusal : checkLeaving(aState, aRequest);
   refusal = refusal ? refusal : checkCapacity(aState, aRequest);
+  refusal = refusal ? refusal : checkQuarantine(aState, aRequest);
   refusal = refusal ? refusal : chooseService(aState, aRequest);
   if (refusal) {
     failRequest(aState, aRequest.call.caller, *refusal);
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "crash_evidence.h"
 #include "event_stream.h"
 #include "plan_budgets.h"
 #include "retry_share.h"
@@ -32,6 +33,8 @@
   Duration expected{ 0 };
   Tokens uncachedTokens = 0; ///< prompt tokens counted as prefill load of the upstream until the first event
   bool firstBytes = false;
+  bool sound = false;                 ///< the answer got past its first event
+  std::int64_t eventsBefore = 0;      ///< events of the request's earlier attempts
   std::unique_ptr<UpstreamHead> head; ///< null: not received yet
 };
 
@@ -53,8 +56,9 @@
   std::optional<TimePoint> waitsUntil; ///< set while it waits for tokens or for the first routing table
   std::unique_ptr<Attempt> attempt;    ///< null: none in progress
   std::set<std::string> tried;
-  int sends = 0;      ///< attempts that sent at least a part of the request
-  int mayHaveRun = 0; ///< attempts that are not confirmed as not run
+  int sends = 0;         ///< attempts that sent at least a part of the request
+  int mayHaveRun = 0;    ///< attempts that are not confirmed as not run
+  bool mayCrash = false; ///< an upstream crashed under it, and earlier ones under what it shares with other requests
   bool headSent = false;
   EventStream stream;
   std::string body;              ///< of an answer that is forwarded only when complete
@@ -98,6 +102,7 @@
   std::uint64_t callersDisconnected = 0;
   std::uint64_t retries = 0;
   std::uint64_t resumed = 0;
+  std::uint64_t quarantined = 0;                  ///< requests refused because of a quarantined subject
   std::map<std::int32_t, std::uint64_t> refusals; ///< by HTTP status
 };
 
@@ -126,6 +131,7 @@
   Upstreams upstreams;
   PlanBudgets budgets;
   RetryLimiters retries;
+  CrashEvidence crashes;
   ControlLink link;
   std::map<CallerId, Request> requests;
   std::map<ExchangeId, CallerId> exchanges;
@@ -189,6 +195,18 @@
 RequestError
 limitedError(const State& aState, const Request& aRequest);
 
+// quarantine.cpp
+
+/// @return the reason to refuse the request if it has a quarantined subject
+std::optional<RequestError>
+checkQuarantine(State& aState, const Request& aRequest);
+/// Takes over the suspects and the quarantine of an answer, and ends the calls that must not reach an upstream.
+void
+updateQuarantine(State& aState, const GatewayState& aAnswer);
+/// Records that the upstream of the current attempt broke off before the first event.
+void
+onBrokenOff(State& aState, Request& aRequest);
+
 // overload.cpp
 
 void
--- a/src/router/claims.cpp
+++ b/src/router/claims.cpp
@@ -2,7 +2,7 @@
 
 #include "filters.h"
 #include "finish.h"
-#include "hash.h"
+#include "rhubarbarch/router/hash.h"
 #include "runs.h"
 
 #include <nlohmann/json.hpp>
--- a/src/router/hash.cpp
+++ b/src/router/hash.cpp
@@ -1,4 +1,4 @@
-#include "hash.h"
+#include "rhubarbarch/router/hash.h"
 
 #include <openssl/evp.h>
 
--- a/src/router/model_call.cpp
+++ b/src/router/model_call.cpp
@@ -1,6 +1,6 @@
 #include "model_call.h"
 
-#include "hash.h"
+#include "rhubarbarch/router/hash.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/router/placement.cpp
+++ b/src/router/placement.cpp
@@ -1,6 +1,6 @@
 #include "placement.h"
 
-#include "hash.h"
+#include "rhubarbarch/router/hash.h"
 
 #include <algorithm>
 #include <iterator>
--- a/src/state/replicated_state.cpp
+++ b/src/state/replicated_state.cpp
@@ -14,10 +14,10 @@
 
 // In the order of the alternatives of Command. Stored logs contain these names.
 constexpr std::array<std::string_view, kCommandCount> kCommandNames = {
-  "SetPlans",    "SetUses",      "OpenSession", "FenceRouter",      "ReportFence", "SetLeaving",
-  "MarkDrained", "RemoveAgent",  "MarkSettled", "IssueGrant",       "ReturnGrant", "ChargeGrant",
-  "SettleGrant", "TakeClaim",    "UpdateClaim", "ExpireClaims",     "AddMove",     "StepMove",
-  "RaiseFence",  "StoreRouting", "OpenGateway", "ReportAllowances", "ReportBatch", "SetEvacuation"
+  "SetPlans",         "SetUses",      "OpenSession",   "FenceRouter",  "ReportFence", "SetLeaving",   "MarkDrained",
+  "RemoveAgent",      "MarkSettled",  "IssueGrant",    "ReturnGrant",  "ChargeGrant", "SettleGrant",  "TakeClaim",
+  "UpdateClaim",      "ExpireClaims", "AddMove",       "StepMove",     "RaiseFence",  "StoreRouting", "OpenGateway",
+  "ReportAllowances", "ReportBatch",  "SetEvacuation", "SetQuarantine"
 };
 
 using CommandDecoder = Command (*)(const nlohmann::json&);
@@ -120,6 +120,12 @@
   return apply(aState.evacuations, aCommand, aIndex);
 }
 
+QuarantineOutcome
+apply(ReplicatedState& aState, const SetQuarantine& aCommand, LogIndex aIndex)
+{
+  return apply(aState.quarantine, aCommand, aIndex);
+}
+
 } // namespace
 
 Outcome
@@ -177,6 +183,7 @@
   json["routing"] = aState.routing;
   json["allowances"] = aState.allowances;
   json["evacuations"] = aState.evacuations;
+  json["quarantine"] = aState.quarantine;
   return toCbor(json);
 }
 
@@ -196,6 +203,7 @@
     state.routing = json.value("routing", RoutingState{});
     state.allowances = json.value("allowances", Allowances{});
     state.evacuations = json.value("evacuations", Evacuations{});
+    state.quarantine = json.value("quarantine", Quarantine{});
     rebuildIndexes(state.ledger);
     return state;
   } catch (const nlohmann::json::exception& error) {
--- a/src/wire/gateway_messages.cpp
+++ b/src/wire/gateway_messages.cpp
@@ -8,6 +8,8 @@
 RHUBARBARCH_DEFINE_FIELDS(UpstreamUse, id, running, prefillTokens)
 RHUBARBARCH_DEFINE_FIELDS(LimitReport, upstream, callsPerSecond, namedAgeMs, unnamedAgeMs, wanted)
 RHUBARBARCH_DEFINE_FIELDS(CallPermit, upstream, callsPerSecond, calls)
+RHUBARBARCH_DEFINE_FIELDS(BrokenAnswer, request, upstream, subjects, ageMs)
+RHUBARBARCH_DEFINE_FIELDS(SubjectReport, subject, soundAgeMs, refusedAgeMs)
 RHUBARBARCH_DEFINE_FIELDS(GatewayPoll,
                           instance,
                           boot,
@@ -20,7 +22,10 @@
                           partial,
                           plans,
                           upstreams,
-                          limits)
+                          limits,
+                          quarantineRevision,
+                          broken,
+                          subjects)
 RHUBARBARCH_DEFINE_FIELDS(PlanAllowance, plan, issued, remaining, recall)
 RHUBARBARCH_DEFINE_FIELDS(GatewayState,
                           instance,
@@ -45,6 +50,10 @@
                           evacuationsRevision,
                           evacuated,
                           hasPermits,
-                          permits)
+                          permits,
+                          suspects,
+                          hasQuarantine,
+                          quarantineRevision,
+                          quarantined)
 
 } // namespace rhubarbarch
--- /dev/null
+++ b/tests/controller/crash_suspects_test.cpp
@@ -0,0 +1,140 @@
+// CppUTest replaces operator new by macro, so the standard and project headers come first.
+#include "crash_suspects.h"
+
+#include <string>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace rhubarbarch;
+using namespace rhubarbarch::controller;
+
+namespace {
+
+const GatewayOptions kOptions;
+constexpr TimePoint kStart{ Duration{ 1'000'000 } };
+
+std::vector<BrokenAnswer>
+broken(int aRequest, int aUpstream, std::vector<std::string> aSubjects)
+{
+  return { { "r" + std::to_string(aRequest), "e" + std::to_string(aUpstream), std::move(aSubjects), 0 } };
+}
+
+} // namespace
+
+TEST_GROUP(CrashSuspects)
+{
+  CrashSuspects suspects;
+  TimePoint now = kStart;
+
+  void crash(int aRequest, int aUpstream, std::vector<std::string> aSubjects)
+  {
+    now += Duration{ 100 };
+    recordCrashes(suspects, broken(aRequest, aUpstream, std::move(aSubjects)), now);
+  }
+
+  std::string cause()
+  {
+    now += kOptions.crashSettleTime;
+    return findCause(suspects, kOptions, now);
+  }
+};
+
+// Guards against a part that sound requests share with the crashing ones being taken for the cause.
+TEST(CrashSuspects, findsThePartWithoutSoundAnswers)
+{
+  for (int i = 0; i < 3; ++i) {
+    STRCMP_EQUAL("", cause().c_str());
+    crash(i, i, { "system", "crashing" });
+    recordSubjects(suspects, { { "system", 20, -1 } }, now);
+  }
+  STRCMP_EQUAL("crashing", cause().c_str());
+}
+
+// Guards against a part that was served soundly until it began to crash upstreams being passed over.
+TEST(CrashSuspects, findsAPartThatWasSoundBefore)
+{
+  for (int i = 0; i < 3; ++i) {
+    crash(i, i, { "system", "crashing" });
+  }
+  recordSubjects(suspects, { { "system", 350, -1 }, { "crashing", 900, -1 } }, now);
+  STRCMP_EQUAL("crashing", cause().c_str());
+}
+
+// Guards against sound requests being quarantined after many upstreams crashed at once for another reason.
+TEST(CrashSuspects, doesNotBlamePartsWithLaterSoundAnswers)
+{
+  for (int i = 0; i < 8; ++i) {
+    crash(i, i, { "system", "session" + std::to_string(i) });
+  }
+  recordSubjects(suspects, { { "system", 0, -1 } }, now);
+  STRCMP_EQUAL("", cause().c_str());
+}
+
+// Guards against all requests with a shared part being refused because one request is repeated again and again.
+TEST(CrashSuspects, doesNotBlameAPartForRepeatsOfOneRequest)
+{
+  for (int i = 0; i < 5; ++i) {
+    crash(1, i, { "part" });
+  }
+  STRCMP_EQUAL("", cause().c_str());
+}
+
+// Guards against several requests that one crash broke off counting as several crashes.
+TEST(CrashSuspects, countsACrashOnce)
+{
+  for (int i = 0; i < 5; ++i) {
+    crash(i, 1, { "part" });
+  }
+  STRCMP_EQUAL("", cause().c_str());
+}
+
+// Guards against a part being blamed before gateways had the time to report sound answers.
+TEST(CrashSuspects, waitsForReports)
+{
+  for (int i = 0; i < 3; ++i) {
+    crash(i, i, { "crashing" });
+  }
+  STRCMP_EQUAL("", findCause(suspects, kOptions, now).c_str());
+  STRCMP_EQUAL("crashing", cause().c_str());
+}
+
+// Guards against one broken answer counting again in each poll that repeats it.
+TEST(CrashSuspects, ignoresRepeatedReports)
+{
+  CHECK(recordCrashes(suspects, broken(1, 1, { "part" }), now));
+  CHECK_FALSE(recordCrashes(suspects, broken(1, 1, { "part" }), now));
+  CHECK_EQUAL(1U, suspects.crashes.size());
+}
+
+// Guards against shared parts being blamed for crashes that a quarantined part explains.
+TEST(CrashSuspects, forgetsExplainedCrashes)
+{
+  for (int i = 0; i < 4; ++i) {
+    crash(i, i, { "system", "crashing" });
+  }
+  expireCrashes(suspects, { "crashing" }, kOptions, now);
+  STRCMP_EQUAL("", cause().c_str());
+}
+
+// Guards against subjects that nobody asks for any more staying in quarantine, and active ones leaving it.
+TEST(CrashSuspects, releasesInactiveSubjects)
+{
+  CHECK(findInactive(suspects, { "a", "b" }, kOptions, now).empty());
+  now += kOptions.quarantineTime / 2;
+  recordSubjects(suspects, { { "b", -1, 0 } }, now);
+  now += kOptions.quarantineTime / 2;
+  const auto inactive = findInactive(suspects, { "a", "b" }, kOptions, now);
+  CHECK_EQUAL(1U, inactive.size());
+  STRCMP_EQUAL("a", inactive.front().c_str());
+}
+
+// Guards against reports of untrusted size filling the leader's memory.
+TEST(CrashSuspects, boundsWhatItRemembers)
+{
+  for (int i = 0; i < 2000; ++i) {
+    crash(i, i, { "s" + std::to_string(i) });
+  }
+  CHECK_COMPARE(suspects.crashes.size(), <=, 256U);
+  CHECK_COMPARE(controller::suspects(suspects, kOptions).size(), <=, kOptions.maxSuspects);
+}
--- a/tests/support/gateway_fleet.h
+++ b/tests/support/gateway_fleet.h
@@ -307,7 +307,7 @@
       call.method = "POST";
       call.host = "shop.example";
       call.target = "/chat/";
-      call.body = std::make_shared<const std::string>("body");
+      call.body = std::make_shared<const std::string>(call.requestId);
       call.deadline = Duration{ 4000 };
       call.promptTokens = 700;
       call.maxOutputTokens = 10;
@@ -324,13 +324,12 @@
 
   void answerCalls()
   {
-    std::vector<Call> due;
-    const auto waits = [&](const Call& aCall) {
-      return aCall.answerAt > controllers.now || mGateways[aCall.gateway].frozen;
+    const auto isDue = [&](const Call& aCall) {
+      return aCall.answerAt <= controllers.now && !mGateways[aCall.gateway].frozen;
     };
-    const auto first = std::stable_partition(mCalls.begin(), mCalls.end(), waits);
-    std::move(first, mCalls.end(), std::back_inserter(due));
-    mCalls.erase(first, mCalls.end());
+    std::vector<Call> due;
+    std::ranges::copy_if(mCalls, std::back_inserter(due), isDue);
+    std::erase_if(mCalls, isDue);
     for (const auto& call : due) {
       if (mGateways[call.gateway].calls.erase(call.exchange) > 0) {
         answer(call);
