Quarantine requests that crash the upstreams that run them

Callers of other requests saw their answers cut, as a request that crashes its upstream was repeated by its caller at any gateway and sent on each time.

The leader also counts crashes by the digest of caller, method, host, path and body, which is equal for all repeats; three upstreams and no later answer suffice. Calls of plain services count without the head of an answer, since such services have begun most of what they hold. Crashes still count for the parts, so that a part that crashes upstreams is found when each of its requests is repeated.

--- a/src/controller/crash_suspects.cpp
+++ b/src/controller/crash_suspects.cpp
@@ -20,11 +20,18 @@
   return found == aSuspects.soundAt.end() ? TimePoint::min() : found->second;
 }
 
-/// Calls `aCount` for each subject that may have caused a crash: no sound answer since then, and no other subject of
-/// the request whose last sound answer is older.
+/// @return the subject that stands for all repeats of a request
+std::string
+requestSubject(const std::string& aDigest)
+{
+  return "request/" + aDigest;
+}
+
+/// Calls `aCount` for each part that may have caused a crash: no sound answer since then, and no other part of the
+/// request whose last sound answer is older.
 template<typename Function>
 void
-forEachCause(const CrashSuspects& aSuspects, const Crash& aCrash, Function&& aCount)
+forEachPartInDoubt(const CrashSuspects& aSuspects, const Crash& aCrash, Function&& aCount)
 {
   auto oldest = TimePoint::max();
   for (const auto& subject : aCrash.subjects) {
@@ -40,12 +47,25 @@
   }
 }
 
+/// Crashes that a subject may have caused.
 struct Explained
 {
   std::set<std::string> upstreams;
   std::set<std::string> requests;
 };
 
+using ExplainedBySubject = std::map<std::string, Explained>;
+
+/// @return the subject that explains crashes of the most upstreams; empty if fewer than `crashesToQuarantine`
+template<typename Function>
+std::string
+strongestCause(const ExplainedBySubject& aExplained, const GatewayOptions& aOptions, Function&& aCount)
+{
+  const auto most = std::ranges::max_element(aExplained, {}, [&](const auto& aItem) { return aCount(aItem.second); });
+  const bool enough = most != aExplained.end() && aCount(most->second) >= aOptions.crashesToQuarantine;
+  return enough ? most->first : std::string{};
+}
+
 bool
 isKnown(const CrashSuspects& aSuspects, const BrokenAnswer& aReport)
 {
@@ -58,7 +78,8 @@
 isSuspect(const CrashSuspects& aSuspects, const std::string& aSubject)
 {
   return std::ranges::any_of(aSuspects.crashes, [&](const Crash& aEach) {
-    return std::ranges::find(aEach.subjects, aSubject) != aEach.subjects.end();
+    return requestSubject(aEach.request) == aSubject ||
+           std::ranges::find(aEach.subjects, aSubject) != aEach.subjects.end();
   });
 }
 
@@ -69,11 +90,12 @@
 {
   bool added = false;
   for (const auto& report : aReports) {
-    if (report.subjects.empty() || report.subjects.size() > kMaxSubjects || isKnown(aSuspects, report)) {
+    if (report.subjects.size() > kMaxSubjects || isKnown(aSuspects, report)) {
       continue;
     }
-    added = added || std::ranges::any_of(report.subjects,
-                                         [&](const std::string& aEach) { return !isSuspect(aSuspects, aEach); });
+    added =
+      added || !isSuspect(aSuspects, requestSubject(report.request)) ||
+      std::ranges::any_of(report.subjects, [&](const std::string& aEach) { return !isSuspect(aSuspects, aEach); });
     const auto age = Duration(std::max<std::int64_t>(report.ageMs, 0));
     aSuspects.crashes.push_back({ report.request, report.upstream, report.subjects, aNow - age, aNow });
     if (aSuspects.crashes.size() > kMaxCrashes) {
@@ -116,34 +138,45 @@
 suspects(const CrashSuspects& aSuspects, const GatewayOptions& aOptions)
 {
   std::vector<std::string> found;
-  for (auto crash = aSuspects.crashes.rbegin(); crash != aSuspects.crashes.rend(); ++crash) {
-    for (const auto& subject : crash->subjects) {
-      if (found.size() < aOptions.maxSuspects && std::ranges::find(found, subject) == found.end()) {
-        found.push_back(subject);
-      }
+  const auto add = [&](const std::string& aSubject) {
+    if (found.size() < aOptions.maxSuspects && std::ranges::find(found, aSubject) == found.end()) {
+      found.push_back(aSubject);
     }
+  };
+  for (auto crash = aSuspects.crashes.rbegin(); crash != aSuspects.crashes.rend(); ++crash) {
+    std::ranges::for_each(crash->subjects, add);
+    add(requestSubject(crash->request));
   }
   return found;
 }
 
 std::string
-findCause(const CrashSuspects& aSuspects, const GatewayOptions& aOptions, TimePoint aNow)
+findCause(const CrashSuspects& aSuspects,
+          const std::set<std::string>& aQuarantined,
+          const GatewayOptions& aOptions,
+          TimePoint aNow)
 {
-  std::map<std::string, Explained> explained;
+  ExplainedBySubject requests;
+  ExplainedBySubject parts;
   for (const auto& crash : aSuspects.crashes) {
     if (aNow - crash.reportedAt < aOptions.crashSettleTime) {
       continue;
     }
-    forEachCause(aSuspects, crash, [&](const std::string& aSubject) {
-      explained[aSubject].upstreams.insert(crash.upstream);
-      explained[aSubject].requests.insert(crash.request);
+    const auto request = requestSubject(crash.request);
+    if (!aQuarantined.contains(request) && soundAt(aSuspects, request) < crash.at) {
+      requests[request].upstreams.insert(crash.upstream);
+    }
+    forEachPartInDoubt(aSuspects, crash, [&](const std::string& aPart) {
+      parts[aPart].upstreams.insert(crash.upstream);
+      parts[aPart].requests.insert(crash.request);
     });
   }
-  const auto explains = [&](const auto& aItem) {
-    return std::min(aItem.second.upstreams.size(), aItem.second.requests.size());
-  };
-  const auto most = std::ranges::max_element(explained, {}, explains);
-  return most == explained.end() || explains(*most) < aOptions.crashesToQuarantine ? std::string{} : most->first;
+  // Repeats of one request show that it crashes upstreams, but not which part of it does.
+  const auto part = strongestCause(
+    parts, aOptions, [](const Explained& aEach) { return std::min(aEach.upstreams.size(), aEach.requests.size()); });
+  return !part.empty()
+           ? part
+           : strongestCause(requests, aOptions, [](const Explained& aEach) { return aEach.upstreams.size(); });
 }
 
 std::vector<std::string>
--- a/src/controller/crash_suspects.h
+++ b/src/controller/crash_suspects.h
@@ -15,7 +15,7 @@
 /// An answer that its upstream broke off, with the subjects that may be the cause.
 struct Crash
 {
-  std::string request; ///< digest
+  std::string request; ///< digest; a subject of its own, `request/DIGEST`
   std::string upstream;
   std::vector<std::string> subjects;
   TimePoint at;
@@ -40,7 +40,7 @@
 void
 recordSubjects(CrashSuspects& aSuspects, const std::vector<SubjectReport>& aReports, TimePoint aNow);
 
-/// Forgets old crashes, and those that a quarantined subject explains.
+/// Forgets old crashes, and those that a quarantined part explains.
 void
 expireCrashes(CrashSuspects& aSuspects,
               const std::set<std::string>& aQuarantined,
@@ -51,11 +51,15 @@
 std::vector<std::string>
 suspects(const CrashSuspects& aSuspects, const GatewayOptions& aOptions);
 
-/// Finds a subject that explains enough crashes. Subjects that sound requests share with the crashing ones have a later
-/// sound answer than the cause, so each crash counts for its subject with the oldest one.
+/// Finds a subject that explains enough crashes and is not in quarantine: a request that was repeated, or a part of
+/// different requests. Parts that sound requests share with the crashing ones have a later sound answer than the cause,
+/// so each crash counts for its part with the oldest one.
 /// @return empty if there is none, or if gateways have not had the time to report sound answers
 std::string
-findCause(const CrashSuspects& aSuspects, const GatewayOptions& aOptions, TimePoint aNow);
+findCause(const CrashSuspects& aSuspects,
+          const std::set<std::string>& aQuarantined,
+          const GatewayOptions& aOptions,
+          TimePoint aNow);
 
 /// @return the quarantined subjects for which no request has come for `quarantineTime`
 std::vector<std::string>
--- a/src/controller/quarantine.cpp
+++ b/src/controller/quarantine.cpp
@@ -94,7 +94,7 @@
   const auto& options = aContext.options.gateways;
   const auto subjects = quarantined(aContext);
   expireCrashes(suspects, subjects, options, aContext.now);
-  if (const auto cause = findCause(suspects, options, aContext.now); !cause.empty()) {
+  if (const auto cause = findCause(suspects, subjects, options, aContext.now); !cause.empty()) {
     proposeQuarantine(aContext, cause, true);
     return;
   }
--- a/src/gateway/attempts.cpp
+++ b/src/gateway/attempts.cpp
@@ -205,7 +205,8 @@
 void
 startAttempt(State& aState, Request& aRequest)
 {
-  if (const auto refusal = checkQuarantine(aState, aRequest)) {
+  // A first attempt was checked at admission, and whenever the quarantine changed since then.
+  if (const auto refusal = aRequest.sends > 0 ? checkQuarantine(aState, aRequest) : std::nullopt) {
     failRequest(aState, aRequest.call.caller, *refusal);
     return;
   }
--- a/src/gateway/crash_evidence.cpp
+++ b/src/gateway/crash_evidence.cpp
@@ -19,6 +19,13 @@
 constexpr Duration kSoundTime{ 10'000 };
 /// Refusals are reported for this long, over a few polls.
 constexpr Duration kRefusalReportTime{ 2000 };
+constexpr std::string_view kRequestPrefix = "request/";
+
+bool
+isRequest(const std::string& aSubject)
+{
+  return aSubject.starts_with(kRequestPrefix);
+}
 
 std::int64_t
 ageMs(TimePoint aTime, TimePoint aNow)
@@ -48,14 +55,16 @@
   return subjects;
 }
 
+std::string
+requestSubject(const CallerCall& aCall)
+{
+  return std::string(kRequestPrefix) + digest(aCall);
+}
+
 void
 recordBroken(CrashEvidence& aEvidence, const CallerCall& aCall, const std::string& aUpstream, TimePoint aNow)
 {
-  auto subjects = subjectsOf(aCall);
-  if (subjects.empty()) {
-    return;
-  }
-  aEvidence.broken.push_back({ digest(aCall), aUpstream, std::move(subjects), aNow });
+  aEvidence.broken.push_back({ digest(aCall), aUpstream, subjectsOf(aCall), aNow });
   if (aEvidence.broken.size() > kMaxBroken) {
     aEvidence.broken.pop_front();
   }
@@ -68,6 +77,10 @@
   for (auto& subject : subjectsOf(aCall)) {
     soundAt.insert_or_assign(std::move(subject), aNow);
   }
+  // Only requests that are suspected, or may be soon, are worth a digest of their body.
+  if (!aEvidence.broken.empty() || std::ranges::any_of(aEvidence.suspects, isRequest)) {
+    soundAt.insert_or_assign(requestSubject(aCall), aNow);
+  }
   if (soundAt.size() > kMaxSound) {
     std::erase_if(soundAt, [&](const auto& aItem) { return aNow - aItem.second >= kSoundTime; });
   }
@@ -85,7 +98,14 @@
   const auto subjects = subjectsOf(aCall);
   const auto found =
     std::ranges::find_if(subjects, [&](const std::string& aEach) { return aEvidence.quarantined.contains(aEach); });
-  return found == subjects.end() ? std::string{} : *found;
+  if (found != subjects.end()) {
+    return *found;
+  }
+  if (aEvidence.hasRequests) {
+    const auto request = requestSubject(aCall);
+    return aEvidence.quarantined.contains(request) ? request : std::string{};
+  }
+  return {};
 }
 
 bool
@@ -94,7 +114,8 @@
   if (aEvidence.suspects.empty()) {
     return false;
   }
-  const auto subjects = subjectsOf(aCall);
+  auto subjects = subjectsOf(aCall);
+  subjects.push_back(requestSubject(aCall));
   return std::ranges::any_of(subjects, [&](const std::string& aEach) {
     const auto sound = aEvidence.soundAt.find(aEach);
     const bool recent = sound != aEvidence.soundAt.end() && aNow - sound->second < kSoundTime;
@@ -121,6 +142,7 @@
   }
   aEvidence.quarantineRevision = aAnswer.quarantineRevision;
   aEvidence.quarantined = { aAnswer.quarantined.begin(), aAnswer.quarantined.end() };
+  aEvidence.hasRequests = std::ranges::any_of(aAnswer.quarantined, isRequest);
   std::erase_if(aEvidence.refusedAt, [&](const auto& aItem) { return !aEvidence.quarantined.contains(aItem.first); });
   return true;
 }
--- a/src/gateway/crash_evidence.h
+++ b/src/gateway/crash_evidence.h
@@ -31,14 +31,19 @@
   std::unordered_map<std::string, TimePoint> soundAt; ///< subject: last answer that got past its first event
   std::set<std::string> suspects;                     ///< the leader asks for these
   std::unordered_set<std::string> quarantined;        ///< requests with one of these must not reach an upstream
+  bool hasRequests = false;                           ///< some of them are whole requests, not parts of prompts
   std::uint64_t quarantineRevision = 0;
   std::map<std::string, TimePoint> refusedAt; ///< quarantined subjects: last request refused
 };
 
-/// @return the subjects of a request: the parts of its prompt but the last one, which no other request has
+/// @return the subjects that a request may share with others: the parts of its prompt but the last one
 std::vector<std::string>
 subjectsOf(const CallerCall& aCall);
 
+/// @return the subject that stands for all repeats of a request by its caller, whatever their request ids are
+std::string
+requestSubject(const CallerCall& aCall);
+
 /// Records that an upstream broke off a request's answer before the first event.
 void
 recordBroken(CrashEvidence& aEvidence, const CallerCall& aCall, const std::string& aUpstream, TimePoint aNow);
@@ -51,7 +56,7 @@
 std::string
 quarantinedSubject(const CrashEvidence& aEvidence, const CallerCall& aCall);
 
-/// @return whether a request has a subject that the leader suspects and that has no recent sound answer
+/// @return whether the leader suspects a request or a part of it that has no recent sound answer
 bool
 isSuspect(const CrashEvidence& aEvidence, const CallerCall& aCall, TimePoint aNow);
 
--- a/src/gateway/quarantine.cpp
+++ b/src/gateway/quarantine.cpp
@@ -11,14 +11,14 @@
 /// Retry-After for a request that crashes upstreams: it is served only after an upstream or the request has changed.
 constexpr Duration kQuarantineRetryAfter{ 60'000 };
 
-/// Ends the calls that have a quarantined subject and that no upstream has begun to answer, before one does.
+/// Ends the requests that have a quarantined subject and that no upstream has begun to answer, before one does.
 void
-endQuarantinedCalls(State& aState)
+endQuarantinedRequests(State& aState)
 {
   std::vector<CallerId> found;
   for (const auto& [caller, request] : aState.requests) {
     const bool begun = request.headSent || (request.attempt && request.attempt->firstBytes);
-    if (request.attempt && !begun && !quarantinedSubject(aState.crashes, request.call).empty()) {
+    if (request.route != nullptr && !begun && !quarantinedSubject(aState.crashes, request.call).empty()) {
       found.push_back(caller);
     }
   }
@@ -53,7 +53,7 @@
         Severity::kWarning,
         "quarantine_in_force",
         { { "revision", aAnswer.quarantineRevision }, { "subjects", aAnswer.quarantined } });
-    endQuarantinedCalls(aState);
+    endQuarantinedRequests(aState);
   }
 }
 
@@ -72,7 +72,8 @@
         { "upstream", attempt.upstreamId },
         { "answer_begun", attempt.head != nullptr },
         { "subjects", subjects } });
-  if (!attempt.head || subjects.empty()) {
+  // Engines hold many requests that they have not begun. Plain services have most likely begun those that they got.
+  if (!attempt.head && aRequest.service->isEngine) {
     return;
   }
   aRequest.mayCrash = isSuspect(aState.crashes, aRequest.call, aState.now);
--- a/tests/controller/crash_suspects_test.cpp
+++ b/tests/controller/crash_suspects_test.cpp
@@ -36,7 +36,7 @@
   std::string cause()
   {
     now += kOptions.crashSettleTime;
-    return findCause(suspects, kOptions, now);
+    return findCause(suspects, {}, kOptions, now);
   }
 };
 
@@ -77,9 +77,40 @@
   for (int i = 0; i < 5; ++i) {
     crash(1, i, { "part" });
   }
+  STRCMP_EQUAL("", findCause(suspects, { "request/r1" }, kOptions, now + kOptions.crashSettleTime).c_str());
+}
+
+// Guards against a request that crashes the upstreams that run it being sent to one upstream after the other.
+TEST(CrashSuspects, findsARepeatedRequest)
+{
+  for (int i = 0; i < 3; ++i) {
+    STRCMP_EQUAL("", cause().c_str());
+    crash(1, i, {});
+    crash(10 + i, i, {});
+  }
+  STRCMP_EQUAL("request/r1", cause().c_str());
+}
+
+// Guards against a request being refused that failed with crashing upstreams and was then answered.
+TEST(CrashSuspects, doesNotBlameARequestThatWasAnsweredLater)
+{
+  for (int i = 0; i < 3; ++i) {
+    crash(1, i, {});
+  }
+  recordSubjects(suspects, { { "request/r1", 0, -1 } }, now);
   STRCMP_EQUAL("", cause().c_str());
 }
 
+// Guards against repeats of single requests hiding the part that they have in common.
+TEST(CrashSuspects, findsThePartOfRepeatedRequests)
+{
+  for (int i = 0; i < 9; ++i) {
+    crash(i / 3, i, { "system", "crashing" });
+    recordSubjects(suspects, { { "system", 20, -1 } }, now);
+  }
+  STRCMP_EQUAL("crashing", cause().c_str());
+}
+
 // Guards against several requests that one crash broke off counting as several crashes.
 TEST(CrashSuspects, countsACrashOnce)
 {
@@ -95,7 +126,7 @@
   for (int i = 0; i < 3; ++i) {
     crash(i, i, { "crashing" });
   }
-  STRCMP_EQUAL("", findCause(suspects, kOptions, now).c_str());
+  STRCMP_EQUAL("", findCause(suspects, {}, kOptions, now).c_str());
   STRCMP_EQUAL("crashing", cause().c_str());
 }
 
--- a/tests/gateway/quarantine_test.cpp
+++ b/tests/gateway/quarantine_test.cpp
@@ -158,3 +158,51 @@
   CHECK_EQUAL(1U, poll.subjects.size());
   CHECK_COMPARE(poll.subjects[0].soundAgeMs, >=, 0);
 }
+
+// Guards against a request that crashes plain services, which send no head before they crash, going unnoticed.
+TEST(Quarantine, reportsABrokenCallOfAPlainService)
+{
+  gateway.call("/order/");
+  const auto call = gateway.takeOne<StartCall>();
+  gateway.handle(UpstreamError{ call.exchange, true, false, "answer: end of stream" });
+  gateway.tick(Duration{ 300 });
+  const auto poll = gateway.lastPoll();
+  CHECK_EQUAL(1U, poll.broken.size());
+  STRCMP_EQUAL(call.upstreamId.c_str(), poll.broken[0].upstream.c_str());
+  CHECK(poll.broken[0].subjects.empty());
+}
+
+// Guards against a quarantined request reaching an upstream under a new id, and against others being refused with it.
+TEST(Quarantine, refusesRepeatsOfARequest)
+{
+  gateway.call("/order/");
+  gateway.handle(UpstreamError{ gateway.takeOne<StartCall>().exchange, true, false, "answer: end of stream" });
+  gateway.tick(Duration{ 300 });
+  const auto digest = gateway.lastPoll().broken.at(0).request;
+  quarantine(5, { "request/" + digest });
+  gateway.clearActions();
+  gateway.call("/order/");
+  CHECK(gateway.take<StartCall>().empty());
+  CHECK_EQUAL(503, gateway.status());
+  gateway.call("/stock/");
+  CHECK_EQUAL(1U, gateway.take<StartCall>().size());
+}
+
+// Guards against a sound request being quarantined although it was answered after upstreams had crashed under it.
+TEST(Quarantine, reportsALaterAnswerToARequest)
+{
+  gateway.call("/stock/");
+  gateway.handle(UpstreamError{ gateway.takeOne<StartCall>().exchange, true, false, "answer: end of stream" });
+  const auto second = gateway.takeOne<StartCall>().exchange;
+  gateway.head(second, 200);
+  gateway.handle(UpstreamEnd{ second });
+  gateway.tick(Duration{ 300 });
+  const auto request = "request/" + gateway.lastPoll().broken.at(0).request;
+  suspect({ request });
+  gateway.clearActions();
+  gateway.tick(Duration{ 300 });
+  const auto poll = gateway.lastPoll();
+  CHECK_EQUAL(1U, poll.subjects.size());
+  STRCMP_EQUAL(request.c_str(), poll.subjects[0].subject.c_str());
+  CHECK_COMPARE(poll.subjects[0].soundAgeMs, >=, 0);
+}
--- a/tests/support/gateway_fleet.h
+++ b/tests/support/gateway_fleet.h
@@ -44,8 +44,9 @@
   /// Requests that crash the engine that begins to answer them. None of the fields is set by default.
   struct Crashing
   {
-    std::string part; ///< the part of the prompt that crashes engines
-    double share = 0; ///< of all requests
+    bool repeats = false; ///< they are repeats of one request, with its body and prompt, under new ids
+    std::string part;     ///< the part of the prompt that crashes engines
+    double share = 0;     ///< of all requests
     Duration restartTime{ 3500 };
   };
 
@@ -316,6 +317,10 @@
       if (std::bernoulli_distribution(crashing.share)(mRandom)) {
         call.prompt.insert(call.prompt.end() - 1, { crashing.part, 100 });
         mCrashing.insert(call.requestId);
+        if (crashing.repeats) {
+          call.prompt = { { "s0", 500 }, { crashing.part, 200 } };
+          call.body = std::make_shared<const std::string>(crashing.part);
+        }
       }
       mGateways[aGateway].callers[call.caller] = { controllers.now, mCrashing.contains(call.requestId) };
       handle(aGateway, call);
