Fail event streams that end before their first event

A stream may come without length and chunks and end with its connection. When its upstream crashed after the head, the caller got a complete 200 without any event. Such an answer now counts as broken off, as one that ends within an event does, and as evidence of a crash. GatewayStreams.failsAStreamThatEndsBeforeItsFirstEvent, which expects 502, failed before and passes now.

UpstreamClient.answerWithoutLengthEndsWithItsConnection shows that such an answer is whole when its connection is closed and broken when it is reset; it passed without a change.

--- a/src/gateway/attempts.cpp
+++ b/src/gateway/attempts.cpp
@@ -343,9 +343,10 @@
   }
   const auto& head = *request->attempt->head;
   if (isForwardedAsStream(*request)) {
-    if (request->stream.partial()) {
+    // An answer without length or chunks ends with its connection, also when its upstream crashes.
+    if (request->stream.partial() || request->stream.events() == 0) {
       onBrokenOff(aState, *request);
-      failAttempt(aState, *request, "stream ended within an event", true, true);
+      failAttempt(aState, *request, "stream ended before or within an event", true, true);
     } else {
       recordSoundAnswer(aState, *request);
       endStream(aState, *request);
--- a/tests/gateway/streams_test.cpp
+++ b/tests/gateway/streams_test.cpp
@@ -51,6 +51,17 @@
   CHECK(fleet.take<ReplyEnd>().empty());
 }
 
+// Guards against an empty stream appearing complete to the caller when an upstream crashes before the first event of an
+// answer that ends with its connection.
+TEST(GatewayStreams, failsAStreamThatEndsBeforeItsFirstEvent)
+{
+  fleet.call("/review/1", 100, 50);
+  const auto call = fleet.takeOne<StartCall>();
+  fleet.head(call.exchange, 200, true);
+  fleet.handle(UpstreamEnd{ call.exchange });
+  CHECK_EQUAL(502, fleet.status());
+}
+
 // Guards against failing a resumable stream together with its server, and against missing or duplicate events.
 TEST(GatewayStreams, resumesElsewhereAfterTheLastCompleteEvent)
 {
--- a/tests/net/net_support.h
+++ b/tests/net/net_support.h
@@ -163,6 +163,13 @@
 
   void close() { mSocket.close(); }
 
+  /// Resets the connection, as the system of a crashed process does with unread bytes.
+  void reset()
+  {
+    mSocket.set_option(boost::asio::socket_base::linger(true, 0));
+    mSocket.close();
+  }
+
 private:
   void limit()
   {
--- a/tests/net/upstream_client_test.cpp
+++ b/tests/net/upstream_client_test.cpp
@@ -136,6 +136,30 @@
   STRCMP_EQUAL("abc", seen.copy().data.c_str());
 }
 
+// Guards against an answer without length or chunks being taken for broken when it ends with its connection, and for a
+// whole one when the connection is reset.
+TEST(UpstreamClient, answerWithoutLengthEndsWithItsConnection)
+{
+  start(listener.port());
+  for (const bool reset : { false, true }) {
+    seen.change([](Seen& aSeen) { aSeen = {}; });
+    send(run("{}"));
+    RawSocket upstream(listener.acceptor);
+    upstream.readUntil("{}");
+    upstream.send("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\nid: 1\ndata: x\n\n");
+    CHECK(seen.wait([](const Seen& aSeen) { return !aSeen.data.empty(); }));
+    if (reset) {
+      upstream.reset();
+      CHECK(awaitFailure() == ExchangeFailure::kBroken);
+    } else {
+      upstream.close();
+      CHECK(seen.wait([](const Seen& aSeen) { return aSeen.ended || aSeen.failure.has_value(); }));
+    }
+    CHECK_EQUAL(!reset, seen.copy().ended);
+    STRCMP_EQUAL("id: 1\ndata: x\n\n", seen.copy().data.c_str());
+  }
+}
+
 // Guards against an upstream that goes silent in the middle of an answer being waited for without limit.
 TEST(UpstreamClient, silentAnswerIsBroken)
 {
