Bound what the leader does for suspects of crashes

Found while reading the change for its cost at many gateways: for ten minutes after a crash, every answer held up to 64 suspects, and every tick of 10 ms went through up to 256 crashes. Suspects are now listed for 30 s, since only a new crash can make one a cause, and decisions are made every 50 ms while there are new crashes.

Prompts with more than 16 shared parts gave no evidence at all; the first 64 count now.

--- a/include/rhubarbarch/controller/options.h
+++ b/include/rhubarbarch/controller/options.h
@@ -71,6 +71,8 @@
   Duration crashSettleTime{ 250 };     ///< over one poll: gateways report sound answers before a crash counts
   Duration crashRetention{ 600'000 };  ///< older crashes no longer count
   Duration quarantineTime{ 600'000 };  ///< a subject is released when no request has come for it for this long
+  Duration suspectTime{ 30'000 };      ///< gateways report on the subjects of a crash for this long
+  Duration quarantinePeriod{ 50 };     ///< between two decisions; a fraction of `crashSettleTime`
   std::size_t maxSuspects = 64;        ///< subjects that gateways are asked for at a time
 };
 
--- a/src/controller/crash_suspects.cpp
+++ b/src/controller/crash_suspects.cpp
@@ -10,7 +10,7 @@
 
 /// Limit on the crashes that are remembered, and on the subjects of each.
 constexpr std::size_t kMaxCrashes = 256;
-constexpr std::size_t kMaxSubjects = 16;
+constexpr std::size_t kMaxSubjects = 64;
 
 /// @return time of the last sound answer; the earliest time if there was none
 TimePoint
@@ -135,7 +135,7 @@
 }
 
 std::vector<std::string>
-suspects(const CrashSuspects& aSuspects, const GatewayOptions& aOptions)
+suspects(const CrashSuspects& aSuspects, const GatewayOptions& aOptions, TimePoint aNow)
 {
   std::vector<std::string> found;
   const auto add = [&](const std::string& aSubject) {
@@ -143,7 +143,9 @@
       found.push_back(aSubject);
     }
   };
-  for (auto crash = aSuspects.crashes.rbegin(); crash != aSuspects.crashes.rend(); ++crash) {
+  for (auto crash = aSuspects.crashes.rbegin();
+       crash != aSuspects.crashes.rend() && aNow - crash->reportedAt < aOptions.suspectTime;
+       ++crash) {
     std::ranges::for_each(crash->subjects, add);
     add(requestSubject(crash->request));
   }
@@ -156,6 +158,10 @@
           const GatewayOptions& aOptions,
           TimePoint aNow)
 {
+  // Only new crashes can make a subject a cause, and deciding costs time in proportion to all remembered ones.
+  if (aSuspects.crashes.empty() || aNow - aSuspects.crashes.back().reportedAt >= aOptions.suspectTime) {
+    return {};
+  }
   ExplainedBySubject requests;
   ExplainedBySubject parts;
   for (const auto& crash : aSuspects.crashes) {
--- a/src/controller/crash_suspects.h
+++ b/src/controller/crash_suspects.h
@@ -47,14 +47,16 @@
               const GatewayOptions& aOptions,
               TimePoint aNow);
 
-/// @return the subjects that gateways must report on, at most `maxSuspects`, of the latest crashes first
+/// @return the subjects that gateways must report on: those of crashes within `suspectTime`, latest first, at most
+/// `maxSuspects`
 std::vector<std::string>
-suspects(const CrashSuspects& aSuspects, const GatewayOptions& aOptions);
+suspects(const CrashSuspects& aSuspects, const GatewayOptions& aOptions, TimePoint aNow);
 
 /// Finds a subject that explains enough crashes and is not in quarantine: a request that was repeated, or a part of
 /// different requests. Parts that sound requests share with the crashing ones have a later sound answer than the cause,
 /// so each crash counts for its part with the oldest one.
-/// @return empty if there is none, or if gateways have not had the time to report sound answers
+/// @return empty if there is none, if gateways have not had the time to report sound answers, or if no crash was
+/// reported within `suspectTime`
 std::string
 findCause(const CrashSuspects& aSuspects,
           const std::set<std::string>& aQuarantined,
--- a/src/controller/memory.h
+++ b/src/controller/memory.h
@@ -193,6 +193,7 @@
   FleetSums sums;
   CallLimits limits;
   CrashSuspects crashSuspects;
+  TimePoint quarantineCheckedAt;
   bool quarantineProposed = false; ///< a change of the quarantine is proposed but not yet applied
   ReportQueue reports;
   std::map<PlanId, std::map<SessionId, TimePoint>> waitingFor; ///< sessions with waiting requests, time of last report
--- a/src/controller/quarantine.cpp
+++ b/src/controller/quarantine.cpp
@@ -69,7 +69,7 @@
 void
 addSuspects(GatewayState& aAnswer, const Context& aContext)
 {
-  aAnswer.suspects = suspects(aContext.memory.crashSuspects, aContext.options.gateways);
+  aAnswer.suspects = suspects(aContext.memory.crashSuspects, aContext.options.gateways, aContext.now);
 }
 
 void
@@ -92,6 +92,9 @@
     return;
   }
   const auto& options = aContext.options.gateways;
+  if (!isDue(aContext, aContext.memory.quarantineCheckedAt, options.quarantinePeriod)) {
+    return;
+  }
   const auto subjects = quarantined(aContext);
   expireCrashes(suspects, subjects, options, aContext.now);
   if (const auto cause = findCause(suspects, subjects, options, aContext.now); !cause.empty()) {
--- a/src/gateway/crash_evidence.cpp
+++ b/src/gateway/crash_evidence.cpp
@@ -19,6 +19,8 @@
 constexpr Duration kSoundTime{ 10'000 };
 /// Refusals are reported for this long, over a few polls.
 constexpr Duration kRefusalReportTime{ 2000 };
+/// Parts of one prompt that count; callers choose their number.
+constexpr std::size_t kMaxSubjects = 64;
 constexpr std::string_view kRequestPrefix = "request/";
 
 bool
@@ -46,12 +48,11 @@
 subjectsOf(const CallerCall& aCall)
 {
   std::vector<std::string> subjects;
-  if (aCall.prompt.size() > 1) {
-    std::transform(aCall.prompt.begin(),
-                   aCall.prompt.end() - 1,
-                   std::back_inserter(subjects),
-                   [](const PromptPart& aPart) { return "part/" + aPart.id; });
-  }
+  const auto shared = aCall.prompt.empty() ? 0 : std::min(aCall.prompt.size() - 1, kMaxSubjects);
+  std::transform(aCall.prompt.begin(),
+                 aCall.prompt.begin() + static_cast<std::ptrdiff_t>(shared),
+                 std::back_inserter(subjects),
+                 [](const PromptPart& aPart) { return "part/" + aPart.id; });
   return subjects;
 }
 
--- a/src/gateway/crash_evidence.h
+++ b/src/gateway/crash_evidence.h
@@ -36,7 +36,7 @@
   std::map<std::string, TimePoint> refusedAt; ///< quarantined subjects: last request refused
 };
 
-/// @return the subjects that a request may share with others: the parts of its prompt but the last one
+/// @return the subjects that a request may share with others: the first 64 parts of its prompt, without the last one
 std::vector<std::string>
 subjectsOf(const CallerCall& aCall);
 
