--- a/include/rhubarbarch/gateway/events.h
+++ b/include/rhubarbarch/gateway/events.h
@@ -79,6 +79,7 @@
   bool otherInstance = false;           ///< the address belongs to an instance other than the expected one
   bool leaving = false;                 ///< the upstream accepts no further requests on this connection
   std::optional<double> callsPerSecond; ///< rate limit that it names for the calls of all callers together
+  std::optional<Duration> retryAfter;   ///< time in which the upstream asks for no calls
 };
 
 struct UpstreamData
--- a/src/daemon/gateway_part.cpp
+++ b/src/daemon/gateway_part.cpp
@@ -264,6 +264,9 @@
       const bool sent = aFailure.kind != agent::ExchangeFailure::kNotSent;
       handle(gateway::UpstreamError{ id, sent, aFailure.silent, aFailure.detail });
     };
+    events.resent = [this, request = aCall.requestId, upstream = aCall.upstreamId] {
+      mProcess.log.write({ Severity::kInfo, "call_resent", { { "request", request }, { "upstream", upstream } } });
+    };
     auto exchange = net::startHttpExchange(poolOf(aCall), platform::encodeCall(aCall), std::move(events));
     if (const auto call = mCalls.find(id); call != mCalls.end()) {
       call->second.exchange = std::move(exchange);
--- a/src/gateway/attempts.cpp
+++ b/src/gateway/attempts.cpp
@@ -131,6 +131,19 @@
         { "retries", aRetries } });
 }
 
+void
+logRefused(State& aState, const Request& aRequest, const UpstreamHead& aHead)
+{
+  log(aState,
+      Severity::kInfo,
+      "upstream_refused",
+      { { "request", aRequest.call.requestId },
+        { "upstream", aRequest.attempt->upstreamId },
+        { "status", aHead.status },
+        { "retry_after_ms", aHead.retryAfter ? aHead.retryAfter->count() : -1 },
+        { "sends", aRequest.sends } });
+}
+
 /// Fails the current attempt and starts another one, or fails the request if no further attempt is allowed.
 /// @param aMayHaveRun whether the upstream may have run the request
 /// @param aReceived whether the upstream received the request
@@ -300,6 +313,7 @@
     onNamedLimit(aState, *upstream, aHead);
   }
   if (aHead.notRun) {
+    logRefused(aState, *request, aHead);
     failAttempt(
       aState, *request, "upstream refused the request with status " + std::to_string(aHead.status), false, true);
     return;
--- a/src/net/http_exchange.cpp
+++ b/src/net/http_exchange.cpp
@@ -412,6 +412,9 @@
     return false;
   }
   // The kept connection had been closed by the upstream; the request may be sent again.
+  if (mMayBeSent && mEvents.resent) {
+    mEvents.resent();
+  }
   mReused = false;
   mMayBeSent = false;
   mBuffer.clear();
--- a/src/net/http_exchange.h
+++ b/src/net/http_exchange.h
@@ -57,6 +57,7 @@
   std::function<void()> end;
   std::function<void(const HttpFailure&)> error;
   std::function<bool()> congested; ///< may be empty
+  std::function<void()> resent;    ///< the call is sent again on a new connection; may be empty
 };
 
 /// A connection without a request.
--- a/tests/platform/request_headers_test.cpp
+++ b/tests/platform/request_headers_test.cpp
@@ -150,6 +150,22 @@
   }
 }
 
+// Guards against the rest that an upstream asks for being missed, and against other text being taken for one: a date,
+// words, or a number that is too large to count in milliseconds.
+TEST(RequestHeaders, decodesTheRestThatAnUpstreamAsksFor)
+{
+  const auto restOf = [](const char* aText) {
+    return decodeHead({}, "q1", { 429, "", { { "X-Request-Id", "q1" }, { "retry-after", aText } } }).retryAfter;
+  };
+  CHECK(restOf("2") == Duration{ 2000 });
+  CHECK(restOf("0.0501") == Duration{ 51 });
+  CHECK(restOf("0") == Duration{ 0 });
+  CHECK(restOf("1e300") == Duration{ 86'400'000 });
+  for (const auto* text : { "", "-1", "soon", "nan", "inf", "1e999", "Sat, 05 Dec 2026 01:44:25 GMT" }) {
+    CHECK_FALSE(restOf(text).has_value());
+  }
+}
+
 // Guards against "not run" being believed of an answer to another request, and against it being missed.
 TEST(RequestHeaders, decodesProofsOfNotRunning)
 {
