Count calls sent again after a kept connection closed towards the retry limit

Cause: the connection layer sent a repeatable call once more on a new connection when a kept one closed without a byte of an answer, and neither the retry limit nor the sends of the request counted it. Class of fault: a limit that is kept in one layer and bypassed by a repeat in a layer below it.

Now the connection layer reports the close, and the gateway decides: it sends the call again to the same upstream, on a new connection, if the retry limit allows it and the upstream's error rate is low; otherwise the attempt has failed as any other. Such a close is no evidence that the request crashed the upstream.

Ruled out: that repeats are counted but the portions of the gateways are too large.

--- a/include/rhubarbarch/gateway/events.h
+++ b/include/rhubarbarch/gateway/events.h
@@ -101,6 +101,7 @@
   bool sent = true;    ///< false: confirmed that no part of the request was sent
   bool silent = false; ///< a timeout, not a refusal
   std::string detail;
+  bool kept = false; ///< a kept connection closed before the first byte of the answer
 };
 
 /// The platform's list of upstreams, in response to ReadUpstreams.
@@ -156,6 +157,7 @@
   Duration deadline{ 0 };  ///< remaining time, after which the upstream stops
   std::string lastEventId; ///< resume the stream after this event; empty: from the beginning
   bool repeatable = false; ///< may run again, so that a pooled connection of any age may be used
+  bool fresh = false;      ///< use a new connection
 };
 
 /// Cancel a call; the upstream stops when the connection closes.
--- a/src/daemon/gateway_part.cpp
+++ b/src/daemon/gateway_part.cpp
@@ -262,10 +262,7 @@
     events.error = [this, id](const net::HttpFailure& aFailure) {
       mCalls.erase(id);
       const bool sent = aFailure.kind != agent::ExchangeFailure::kNotSent;
-      handle(gateway::UpstreamError{ id, sent, aFailure.silent, aFailure.detail });
-    };
-    events.resent = [this, request = aCall.requestId, upstream = aCall.upstreamId] {
-      mProcess.log.write({ Severity::kInfo, "call_resent", { { "request", request }, { "upstream", upstream } } });
+      handle(gateway::UpstreamError{ id, sent, aFailure.silent, aFailure.detail, aFailure.kept });
     };
     auto exchange = net::startHttpExchange(poolOf(aCall), platform::encodeCall(aCall), std::move(events));
     if (const auto call = mCalls.find(id); call != mCalls.end()) {
--- a/src/gateway/attempts.cpp
+++ b/src/gateway/attempts.cpp
@@ -17,6 +17,8 @@
 constexpr std::int32_t kFirstServerError = 500;
 /// An upstream that has sent this many events did not crash as it began to answer.
 constexpr std::int64_t kSoundEvents = 2;
+/// With a higher error rate, an upstream that closes a kept connection has probably failed the call.
+constexpr double kSoundErrorRate = 0.15;
 
 /// @return whether another upstream may run the request although an earlier one may have run it
 bool
@@ -39,23 +41,36 @@
   return aHead.status >= 200 && aHead.status < 300;
 }
 
-/// @return whether the request may be sent again
+/// @return whether time and sends are left for another attempt
+bool
+maySend(const State& aState, const Request& aRequest)
+{
+  return aRequest.expiresAt - aState.now >= aState.options.minAttemptTime && aRequest.sends < kMaxSends;
+}
+
+/// Takes a retry from this gateway's portion of the fleet's retry limit.
+bool
+takeRetry(State& aState, const Request& aRequest)
+{
+  return !aRequest.mayCrash && aState.retries[aRequest.service->name].take(aState.options.retryRatio,
+                                                                           aState.options.retrySlack,
+                                                                           aState.link.gateways,
+                                                                           aState.options.retryWindow,
+                                                                           aState.now);
+}
+
+/// @return whether the request may be sent to another upstream
 /// @param aReceived an upstream received the request, so another attempt counts towards the fleet's retry limit
 bool
 mayRetry(State& aState, const Request& aRequest, bool aReceived)
 {
-  if (aRequest.expiresAt - aState.now < aState.options.minAttemptTime || aRequest.sends >= kMaxSends ||
-      (aReceived && aRequest.mayCrash)) {
+  if (!maySend(aState, aRequest)) {
     return false;
   }
   if (aRequest.mayHaveRun > 0 && (!repeatable(aRequest) || aRequest.mayHaveRun >= aRequest.route->maxAttempts)) {
     return false;
   }
-  return !aReceived || aState.retries[aRequest.service->name].take(aState.options.retryRatio,
-                                                                   aState.options.retrySlack,
-                                                                   aState.link.gateways,
-                                                                   aState.options.retryWindow,
-                                                                   aState.now);
+  return !aReceived || takeRetry(aState, aRequest);
 }
 
 StartCall
@@ -167,6 +182,35 @@
   startAttempt(aState, aRequest);
 }
 
+/// Sends the call of the current attempt once more to the same upstream, on a new connection. Upstreams close kept
+/// connections that are idle, which says nothing on the upstream; still it may have received the call.
+/// @return false when that is not allowed, or the upstream has probably failed the call
+bool
+resendCall(State& aState, Request& aRequest)
+{
+  auto& attempt = *aRequest.attempt;
+  auto* upstream = findUpstream(aState, attempt.upstreamId);
+  if (upstream == nullptr || !usable(*upstream) || !mayCall(upstream->limit, aState.now)) {
+    return false;
+  }
+  decay(*upstream, aState.now);
+  if (upstream->errorRate >= kSoundErrorRate || !maySend(aState, aRequest) || checkQuarantine(aState, aRequest) ||
+      !takeRetry(aState, aRequest)) {
+    return false;
+  }
+  logAttemptFailed(aState, aRequest, "kept connection closed", true);
+  aState.exchanges.erase(attempt.exchange);
+  attempt.exchange = ExchangeId{ ++aState.lastExchange };
+  aState.exchanges[attempt.exchange] = aRequest.call.caller;
+  ++aRequest.sends;
+  ++aState.totals.retries;
+  recordCall(upstream->limit, aState.now);
+  auto call = makeCall(aState, aRequest, *upstream);
+  call.fresh = true;
+  aState.actions.emplace_back(std::move(call));
+  return true;
+}
+
 void
 forwardEvents(State& aState, Request& aRequest, std::string aEvents)
 {
@@ -397,6 +441,10 @@
   if (request == nullptr) {
     return;
   }
+  const bool idleClose = aError.kept && repeatable(*request);
+  if (idleClose && resendCall(aState, *request)) {
+    return;
+  }
   if (auto* upstream = findUpstream(aState, request->attempt->upstreamId)) {
     if (!aError.sent || aError.silent) {
       recordUnreachable(*upstream, aState.now);
@@ -404,7 +452,7 @@
       recordAnswer(*upstream, true, aState.now);
     }
   }
-  if (aError.sent && !aError.silent) {
+  if (aError.sent && !aError.silent && !idleClose) {
     onBrokenOff(aState, *request);
   }
   failAttempt(aState, *request, aError.detail, aError.sent, aError.sent);
--- a/src/net/http_exchange.cpp
+++ b/src/net/http_exchange.cpp
@@ -157,7 +157,7 @@
 void
 Exchange::start()
 {
-  if (takeKept()) {
+  if (!mCall.fresh && takeKept()) {
     mReused = true;
     send();
     return;
@@ -408,13 +408,11 @@
 bool
 Exchange::retryOnNewConnection()
 {
-  if (!mReused || mAnswered || (!mCall.repeatable && mMayBeSent)) {
+  const bool mayResend = mCall.repeatable && mCall.resend;
+  if (!mReused || mAnswered || (mMayBeSent && !mayResend)) {
     return false;
   }
   // The kept connection had been closed by the upstream; the request may be sent again.
-  if (mMayBeSent && mEvents.resent) {
-    mEvents.resent();
-  }
   mReused = false;
   mMayBeSent = false;
   mBuffer.clear();
@@ -434,7 +432,8 @@
     mEvents.data(std::exchange(mHeld, {}));
   }
   close();
-  mEvents.error({ mMayBeSent ? ExchangeFailure::kBroken : ExchangeFailure::kNotSent, aSilent, aDetail });
+  const bool kept = mReused && !mAnswered && !aSilent;
+  mEvents.error({ mMayBeSent ? ExchangeFailure::kBroken : ExchangeFailure::kNotSent, aSilent, kept, aDetail });
 }
 
 void
--- a/src/net/http_exchange.h
+++ b/src/net/http_exchange.h
@@ -29,6 +29,8 @@
   Duration timeout{ 0 };        ///< without progress; zero: none
   Duration unackedTimeout{ 0 }; ///< bytes that the other end does not acknowledge break the connection; zero: never
   bool repeatable = false;      ///< may be sent again, so it may use a connection kept for any time
+  bool resend = true;           ///< repeatable calls: send again by itself when a kept connection closes
+  bool fresh = false;           ///< use no kept connection
   bool keep = false;            ///< keep the connection for later calls
   Duration freshIdle{ 0 };      ///< a call that may not be sent again uses connections kept for less than this
 };
@@ -46,6 +48,7 @@
 {
   agent::ExchangeFailure kind = agent::ExchangeFailure::kBroken;
   bool silent = false; ///< a time-out, not a refusal or reset
+  bool kept = false;   ///< a kept connection closed before the first byte of the answer
   std::string detail;
 };
 
@@ -57,7 +60,6 @@
   std::function<void()> end;
   std::function<void(const HttpFailure&)> error;
   std::function<bool()> congested; ///< may be empty
-  std::function<void()> resent;    ///< the call is sent again on a new connection; may be empty
 };
 
 /// A connection without a request.
--- a/tests/gateway/requests_test.cpp
+++ b/tests/gateway/requests_test.cpp
@@ -153,6 +153,43 @@
   CHECK_EQUAL(500, fleet.status());
 }
 
+// Guards against repeats beyond the fleet's retry limit, and against failing a call because an upstream closed an idle
+// connection: the call is sent again to the same upstream, on a new connection, and counts as a retry.
+TEST(GatewayRequests, countsCallsSentAgainAfterAKeptConnectionClosed)
+{
+  fleet.call("/stock/1");
+  const auto first = fleet.takeOne<StartCall>();
+  CHECK_FALSE(first.fresh);
+  fleet.handle(UpstreamError{ first.exchange, true, false, "reset", true });
+  const auto second = fleet.takeOne<StartCall>();
+  STRCMP_EQUAL(first.upstreamId.c_str(), second.upstreamId.c_str());
+  CHECK(second.fresh);
+  CHECK(first.exchange != second.exchange);
+  fleet.head(second.exchange, 200);
+  fleet.handle(UpstreamEnd{ second.exchange });
+  CHECK_EQUAL(200, fleet.status());
+  // A fifth of the 201 requests and a slack of 100 are allowed; most of the slack is used.
+  std::size_t resent = 1;
+  for (int i = 0; i < 200; ++i) {
+    fleet.call("/stock/1");
+    const auto call = fleet.takeOne<StartCall>();
+    fleet.handle(UpstreamError{ call.exchange, true, false, "reset", true });
+    resent += fleet.take<StartCall>().size();
+  }
+  CHECK_COMPARE(resent, >, 50U);
+  CHECK_COMPARE(resent, <=, 100U + 40U);
+}
+
+// Guards against an order being sent again after a kept connection closed: it may have run.
+TEST(GatewayRequests, sendsAnOrderOnceWhenAKeptConnectionClosed)
+{
+  fleet.call("/order/1");
+  const auto call = fleet.takeOne<StartCall>();
+  fleet.handle(UpstreamError{ call.exchange, true, false, "reset", true });
+  CHECK_EQUAL(502, fleet.status());
+  CHECK(fleet.take<StartCall>().empty());
+}
+
 // Guards against waiting for an unresponsive server until the deadline of an idempotent request.
 TEST(GatewayRequests, leavesAnUnresponsiveServer)
 {
