Add failing tests for upstreams that ask for rest

Seven gateways, six engines, one of which refuses its calls and asks for 1 s of rest each time: in 10 s it gets 92 calls from gateways within the rest that they were asked for. With all engines of a service at rest 33 calls reach one of them in 0.4 s.

--- a/tests/support/gateway_fleet.h
+++ b/tests/support/gateway_fleet.h
@@ -39,6 +39,9 @@
     std::map<std::size_t, TimePoint> toldAt; ///< when a gateway first got an answer that names the limit
     TimePoint coldUntil;
     TimePoint downUntil; ///< it has crashed and refuses connections until then
+    Duration rest{ 0 };  ///< it refuses all calls and asks for no calls in this time; zero: it takes them
+    std::map<std::size_t, TimePoint> restUntil; ///< by gateway, according to the refusals that it has got
+    std::size_t callsWithinRest = 0;            ///< from gateways that were asked for rest
   };
 
   /// Requests that crash the engine that begins to answer them. None of the fields is set by default.
@@ -368,6 +371,10 @@
     if (engine.callsPerSecond) {
       engine.toldAt.try_emplace(aCall.gateway, controllers.now);
     }
+    if (engine.rest > Duration{ 0 }) {
+      refuse(aCall, engine);
+      return;
+    }
     handle(aCall.gateway, head);
     if (aCall.crashing) {
       handle(aCall.gateway, gateway::UpstreamData{ aCall.exchange, "id: 1\nda" });
@@ -379,6 +386,18 @@
     handle(aCall.gateway, gateway::UpstreamEnd{ aCall.exchange });
   }
 
+  void refuse(const Call& aCall, Engine& aEngine)
+  {
+    gateway::UpstreamHead head;
+    head.exchange = aCall.exchange;
+    head.status = 429;
+    head.notRun = true;
+    head.retryAfter = aEngine.rest;
+    auto& until = aEngine.restUntil[aCall.gateway];
+    until = std::max(until, controllers.now + aEngine.rest);
+    handle(aCall.gateway, head);
+  }
+
   void handle(std::size_t aGateway, const gateway::Event& aEvent)
   {
     auto& gateway = mGateways[aGateway];
@@ -435,6 +454,8 @@
     call.answerAt = controllers.now + (arrives ? serviceTime : kTickPeriod);
     if (arrives) {
       found->arrivals.push_back({ controllers.now, aGateway });
+      const auto rest = found->restUntil.find(aGateway);
+      found->callsWithinRest += rest != found->restUntil.end() && controllers.now < rest->second ? 1 : 0;
     }
     if (arrives && call.crashing) {
       mCrashingArrivals.emplace_back(aGateway, controllers.now);
