Send no calls to upstreams in the time in which they ask for none

Operators saw it as an upstream that had asked a gateway for some seconds of rest and got calls from it all the while; callers saw refusals, since each such call needs a repeat elsewhere and these are limited.

Cause: Retry-After of an upstream's refusal was read nowhere, and a refusal changed nothing in how attractive the upstream is. Class of fault: a request of a peer for less load without a reader.

Now a gateway leaves an upstream out for the time that it asks for (429 or 503, refused as not run or signed), also for second and later attempts. When all upstreams of a service rest, a request is refused at once with the soonest return. A rest is longer by up to a tenth at random and ends with one call whose answer opens the upstream again, so that not all gateways return at once. Weighed: sharing rests among gateways by the leader; the upstream asks the gateway that it answers, and the others would be told by a list that lags more than most rests last.

--- a/src/gateway/attempts.cpp
+++ b/src/gateway/attempts.cpp
@@ -12,6 +12,11 @@
 
 /// Retry-After when no upstream could take the request; about one service time.
 constexpr Duration kBusyRetryAfter{ 400 };
+/// A rest is extended by up to this fraction, at random, so that gateways that were asked at the same time do not
+/// return at the same time.
+constexpr double kRestJitter = 0.1;
+constexpr std::int32_t kTooManyRequests = 429;
+constexpr std::int32_t kUnavailable = 503;
 /// Limit on sends of one request, including those refused as not run; more would add load to a service that is full.
 constexpr int kMaxSends = 3;
 constexpr std::int32_t kFirstServerError = 500;
@@ -146,6 +151,36 @@
         { "retries", aRetries } });
 }
 
+/// @return the error for a request that no upstream can take now, with the soonest time at which one may
+RequestError
+unavailable(const State& aState, const Request& aRequest, const char* aError)
+{
+  auto soonest = TimePoint::max();
+  bool rests = false;
+  for (const auto& [id, upstream] : aState.upstreams.byId) {
+    if (!usable(upstream) || upstream.entry.service != aRequest.service->name) {
+      continue;
+    }
+    const bool resting = isResting(upstream.rest, aState.now);
+    rests = rests || resting;
+    soonest = std::min(soonest, resting ? upstream.rest.until : aState.now + kBusyRetryAfter);
+  }
+  return { kUnavailable, aError, rests ? soonest - aState.now : kBusyRetryAfter };
+}
+
+/// Records the rest that an upstream asks for. Only a refusal and a signed answer to this request are evidence of it.
+void
+recordRest(State& aState, Upstream& aUpstream, const UpstreamHead& aHead)
+{
+  if (!aHead.retryAfter || (aHead.status != kTooManyRequests && aHead.status != kUnavailable)) {
+    return;
+  }
+  const auto factor = 1 + std::uniform_real_distribution<double>(0, kRestJitter)(aState.random);
+  askForRest(aUpstream.rest,
+             Duration(static_cast<std::int64_t>(static_cast<double>(aHead.retryAfter->count()) * factor)),
+             aState.now);
+}
+
 void
 logRefused(State& aState, const Request& aRequest, const UpstreamHead& aHead)
 {
@@ -175,7 +210,7 @@
   logAttemptFailed(aState, aRequest, aReason, again);
   endAttempt(aState, aRequest, true);
   if (!again) {
-    failRequest(aState, aRequest.call.caller, { 503, "upstream_failed", kBusyRetryAfter });
+    failRequest(aState, aRequest.call.caller, unavailable(aState, aRequest, "upstream_failed"));
     return;
   }
   ++aState.totals.retries;
@@ -190,7 +225,8 @@
 {
   auto& attempt = *aRequest.attempt;
   auto* upstream = findUpstream(aState, attempt.upstreamId);
-  if (upstream == nullptr || !usable(*upstream) || !mayCall(upstream->limit, aState.now)) {
+  if (upstream == nullptr || !usable(*upstream) || isResting(upstream->rest, aState.now) ||
+      !mayCall(upstream->limit, aState.now)) {
     return false;
   }
   decay(*upstream, aState.now);
@@ -281,7 +317,7 @@
     return;
   }
   if (placed.upstream == nullptr) {
-    failRequest(aState, aRequest.call.caller, { 503, "no_upstream", kBusyRetryAfter });
+    failRequest(aState, aRequest.call.caller, unavailable(aState, aRequest, "no_upstream"));
     return;
   }
   aRequest.waitsUntil.reset();
@@ -294,6 +330,7 @@
   attempt.expected = placed.expected;
   attempt.uncachedTokens = placed.uncachedTokens;
   attempt.eventsBefore = aRequest.stream.events();
+  attempt.trial = beginTrial(upstream.rest);
   ++upstream.running;
   upstream.prefillTokens += placed.uncachedTokens;
   upstream.cache.use(aRequest.call.prompt, aRequest.service->engine.kvTokens);
@@ -324,6 +361,9 @@
   if (auto* upstream = findUpstream(aState, attempt.upstreamId)) {
     --upstream->running;
     upstream->prefillTokens -= attempt.uncachedTokens;
+    if (attempt.trial) {
+      endTrial(upstream->rest, false);
+    }
   }
   if (aCancel) {
     aState.actions.emplace_back(CancelCall{ attempt.exchange });
@@ -355,6 +395,7 @@
   }
   if (upstream != nullptr && (aHead.genuine || aHead.notRun)) {
     onNamedLimit(aState, *upstream, aHead);
+    recordRest(aState, *upstream, aHead);
   }
   if (aHead.notRun) {
     logRefused(aState, *request, aHead);
@@ -371,6 +412,9 @@
   }
   if (upstream != nullptr) {
     recordAnswer(*upstream, aHead.status >= kFirstServerError, aState.now);
+    if (std::exchange(request->attempt->trial, false)) {
+      endTrial(upstream->rest, !isResting(upstream->rest, aState.now));
+    }
   }
   request->attempt->head = std::make_unique<UpstreamHead>(aHead);
 }
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -132,9 +132,9 @@
 }
 
 bool
-mayTake(const Upstream& aUpstream, const Service& aService, const std::set<std::string>* aTried)
+mayTake(const Upstream& aUpstream, const Service& aService, const std::set<std::string>* aTried, TimePoint aNow)
 {
-  return usable(aUpstream) && aUpstream.entry.service == aService.name &&
+  return usable(aUpstream) && aUpstream.entry.service == aService.name && !isResting(aUpstream.rest, aNow) &&
          (aTried == nullptr || !aTried->contains(aUpstream.entry.id));
 }
 
@@ -146,14 +146,14 @@
   const auto part = aRequest.prompt == nullptr ? std::string_view{} : affinityPart(*aRequest.prompt);
   const auto partHash = hash(part);
   for (auto& [id, upstream] : aUpstreams.byId) {
-    if (!mayTake(upstream, *aRequest.service, aRequest.avoid)) {
+    if (!mayTake(upstream, *aRequest.service, aRequest.avoid, aNow)) {
       continue;
     }
     decay(upstream, aNow);
     Candidate candidate;
     candidate.upstream = &upstream;
     candidate.weight = mix(partHash ^ hash(id));
-    candidate.avoided = aNow < upstream.avoidUntil;
+    candidate.avoided = aNow < upstream.avoidUntil || upstream.rest.trial;
     candidate.permitted = mayCall(upstream.limit, aNow);
     found.push_back(candidate);
   }
@@ -217,7 +217,7 @@
 hasCandidate(Upstreams& aUpstreams, const Service& aService, const std::set<std::string>& aTried, TimePoint aNow)
 {
   return std::ranges::any_of(aUpstreams.byId, [&](auto& aItem) {
-    return mayTake(aItem.second, aService, &aTried) && mayCall(aItem.second.limit, aNow);
+    return mayTake(aItem.second, aService, &aTried, aNow) && mayCall(aItem.second.limit, aNow);
   });
 }
 
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -35,7 +35,8 @@
 /// upstream, the same at all gateways, as long as it answers well within the target: callers gain nothing from a faster
 /// answer, and reading a prompt again takes an engine's time and memory from other requests.
 ///
-/// An upstream with a rate limit takes part only while the leader permits a call.
+/// An upstream with a rate limit takes part only while the leader permits a call, and one that has asked for rest only
+/// after it. Then a single call goes there, if there is a choice, until that is answered.
 ///
 /// Load pattern: many sessions with long shared prompts that arrive in bursts, a few of them hot.
 Placement
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -33,6 +33,7 @@
   Duration expected{ 0 };
   Tokens uncachedTokens = 0; ///< prompt tokens counted as prefill load of the upstream until the first event
   bool firstBytes = false;
+  bool trial = false;                 ///< the first call after a rest of the upstream
   bool sound = false;                 ///< the answer got past its first event
   std::int64_t eventsBefore = 0;      ///< events of the request's earlier attempts
   std::unique_ptr<UpstreamHead> head; ///< null: not received yet
--- a/src/gateway/upstreams.cpp
+++ b/src/gateway/upstreams.cpp
@@ -48,7 +48,7 @@
   }
   aUpstreams.listedAt = aReadAt;
   aUpstreams.received = true;
-  removeUnlisted(aUpstreams);
+  removeUnlisted(aUpstreams, aNow);
 }
 
 bool
@@ -141,9 +141,12 @@
 }
 
 void
-removeUnlisted(Upstreams& aUpstreams)
+removeUnlisted(Upstreams& aUpstreams, TimePoint aNow)
 {
-  std::erase_if(aUpstreams.byId, [](const auto& aItem) { return !aItem.second.listed && aItem.second.running == 0; });
+  std::erase_if(aUpstreams.byId, [aNow](const auto& aItem) {
+    const auto& upstream = aItem.second;
+    return !upstream.listed && upstream.running == 0 && !isResting(upstream.rest, aNow);
+  });
 }
 
 } // namespace rhubarbarch::gateway
--- a/src/gateway/upstreams.h
+++ b/src/gateway/upstreams.h
@@ -2,6 +2,7 @@
 
 #include "call_limit.h"
 #include "prompt_cache.h"
+#include "upstream_rest.h"
 
 #include "rhubarbarch/base/time.h"
 #include "rhubarbarch/wire/gateway_messages.h"
@@ -31,6 +32,7 @@
   double latencyMs = 0; ///< plain services: smoothed time of a call; zero: not measured yet
   TimePoint decayedAt;
   CallLimit limit;
+  UpstreamRest rest;
 };
 
 struct Upstreams
@@ -85,8 +87,8 @@
 bool
 usable(const Upstream& aUpstream) noexcept;
 
-/// Removes the unlisted upstreams that have no calls in progress.
+/// Removes the unlisted upstreams that have no calls in progress. One at rest stays, since it may be listed again.
 void
-removeUnlisted(Upstreams& aUpstreams);
+removeUnlisted(Upstreams& aUpstreams, TimePoint aNow);
 
 } // namespace rhubarbarch::gateway
--- a/tests/gateway/fixture.h
+++ b/tests/gateway/fixture.h
@@ -138,6 +138,17 @@
     handle(head);
   }
 
+  /// Refuses a call and asks for rest.
+  void askForRest(ExchangeId aExchange, Duration aTime)
+  {
+    UpstreamHead head;
+    head.exchange = aExchange;
+    head.status = 429;
+    head.notRun = true;
+    head.retryAfter = aTime;
+    handle(head);
+  }
+
   static std::string event(int aId) { return "id: " + std::to_string(aId) + "\ndata: x\n\n"; }
 
   template<typename T>
--- a/tests/gateway/placement_test.cpp
+++ b/tests/gateway/placement_test.cpp
@@ -150,7 +150,7 @@
   CHECK(choose(prompt(1, 1)).upstream->entry.id != id);
   CHECK(upstreams.byId.contains(id));
   upstreams.byId.at(id).running = 0;
-  removeUnlisted(upstreams);
+  removeUnlisted(upstreams, now);
   CHECK_FALSE(upstreams.byId.contains(id));
 }
 
