--- a/tests/support/gateway_fleet.h
+++ b/tests/support/gateway_fleet.h
@@ -38,8 +38,9 @@
     std::vector<Arrival> arrivals;
     std::map<std::size_t, TimePoint> toldAt; ///< when a gateway first got an answer that names the limit
     TimePoint coldUntil;
-    TimePoint downUntil; ///< it has crashed and refuses connections until then
-    Duration rest{ 0 };  ///< it refuses all calls and asks for no calls in this time; zero: it takes them
+    TimePoint downUntil;  ///< it has crashed and refuses connections until then
+    bool refuses = false; ///< it refuses all calls as not run
+    Duration rest{ 0 };   ///< it refuses all calls and asks for no calls in this time; zero: it takes them
     std::map<std::size_t, TimePoint> restUntil; ///< by gateway, according to the refusals that it has got
     std::size_t callsWithinRest = 0;            ///< from gateways that were asked for rest
   };
@@ -205,8 +206,10 @@
   double callsPerSecond = 10;                       ///< of the callers of each gateway
   Duration serviceTime{ 100 };
   Crashing crashing;
-  std::vector<TimePoint> crashes; ///< of all engines
-  std::vector<LogLine> lines;     ///< of all gateways
+  std::vector<TimePoint> crashes;  ///< of all engines
+  std::vector<LogLine> lines;      ///< of all gateways
+  std::vector<TimePoint> requests; ///< of all callers
+  std::vector<TimePoint> repeats;  ///< calls that reached an engine after the first one of their request
 
 private:
   static constexpr Duration kListPeriod{ 400 };
@@ -325,6 +328,7 @@
           call.body = std::make_shared<const std::string>(crashing.part);
         }
       }
+      requests.push_back(controllers.now);
       mGateways[aGateway].callers[call.caller] = { controllers.now, mCrashing.contains(call.requestId) };
       handle(aGateway, call);
     }
@@ -371,7 +375,7 @@
     if (engine.callsPerSecond) {
       engine.toldAt.try_emplace(aCall.gateway, controllers.now);
     }
-    if (engine.rest > Duration{ 0 }) {
+    if (engine.refuses || engine.rest > Duration{ 0 }) {
       refuse(aCall, engine);
       return;
     }
@@ -392,9 +396,11 @@
     head.exchange = aCall.exchange;
     head.status = 429;
     head.notRun = true;
-    head.retryAfter = aEngine.rest;
-    auto& until = aEngine.restUntil[aCall.gateway];
-    until = std::max(until, controllers.now + aEngine.rest);
+    if (aEngine.rest > Duration{ 0 }) {
+      head.retryAfter = aEngine.rest;
+      auto& until = aEngine.restUntil[aCall.gateway];
+      until = std::max(until, controllers.now + aEngine.rest);
+    }
     handle(aCall.gateway, head);
   }
 
@@ -457,6 +463,9 @@
       const auto rest = found->restUntil.find(aGateway);
       found->callsWithinRest += rest != found->restUntil.end() && controllers.now < rest->second ? 1 : 0;
     }
+    if (arrives && !mArrived.insert(aCall.requestId).second) {
+      repeats.push_back(controllers.now);
+    }
     if (arrives && call.crashing) {
       mCrashingArrivals.emplace_back(aGateway, controllers.now);
     }
@@ -467,6 +476,7 @@
   std::mt19937_64 mRandom;
   std::uint64_t mCallers = 0;
   std::uint64_t mBoots = 0;
+  std::set<std::string> mArrived;                                   ///< ids of requests that reached an engine
   std::set<std::string> mCrashing;                                  ///< ids of requests that crash engines
   std::vector<std::pair<std::size_t, TimePoint>> mCrashingArrivals; ///< gateway and time
   std::vector<Call> mCalls;
