Keep the fleet's retry limit over restarts of gateways and changes of leader

Callers saw nothing of it; upstreams got more repeats than the limit allows when gateways were restarted several times within its window.

Cause: each gateway divides the slack of the limit by the number of gateways and forgets what it has used when it ends, so each restart adds its portion once more. The number of gateways comes from the leader, and a new leader counts only those it has heard. Class of fault: a share of a common limit that is computed from nothing but local memory.

Now a new process uses no slack within the first window, only its share of the ratio, which counts its own requests; a lower number of gateways takes effect only after a whole window. Requests that are counted are pruned with each new one: a service without retries kept them all.

--- a/src/gateway/attempts.cpp
+++ b/src/gateway/attempts.cpp
@@ -53,15 +53,26 @@
   return aRequest.expiresAt - aState.now >= aState.options.minAttemptTime && aRequest.sends < kMaxSends;
 }
 
+/// @return this gateway's part of the fleet's slack in retries. A new process has none at first: its predecessor may
+/// have used it. A lower number of gateways counts only after a whole window, since a new leader knows few at first.
+double
+slackPart(State& aState)
+{
+  const auto window = aState.options.retryWindow;
+  if (aState.now - aState.startedAt < window) {
+    return 0;
+  }
+  const auto gateways = std::max<std::uint32_t>(aState.link.gateways.value(window, aState.now), 1);
+  return static_cast<double>(aState.options.retrySlack) / gateways;
+}
+
 /// Takes a retry from this gateway's portion of the fleet's retry limit.
 bool
 takeRetry(State& aState, const Request& aRequest)
 {
-  return !aRequest.mayCrash && aState.retries[aRequest.service->name].take(aState.options.retryRatio,
-                                                                           aState.options.retrySlack,
-                                                                           aState.link.gateways,
-                                                                           aState.options.retryWindow,
-                                                                           aState.now);
+  const auto& options = aState.options;
+  return !aRequest.mayCrash && aState.retries[aRequest.service->name].take(
+                                 options.retryRatio, slackPart(aState), options.retryWindow, aState.now);
 }
 
 /// @return whether the request may be sent to another upstream
--- a/src/gateway/control.cpp
+++ b/src/gateway/control.cpp
@@ -238,7 +238,7 @@
     link.directAnswerAt = aState.now;
   }
   link.answered = std::max(link.answered, aAnswer.number);
-  link.gateways = std::max<std::uint32_t>(aAnswer.gateways, 1);
+  link.gateways.record(aAnswer.gateways, aState.now);
   updateControllers(aState, aAnswer.controllers);
   updateEvacuations(aState, aAnswer);
   updateQuarantine(aState, aAnswer);
--- a/src/gateway/requests.cpp
+++ b/src/gateway/requests.cpp
@@ -56,7 +56,7 @@
   if (aRequest.service == nullptr) {
     return RequestError{ 503, "no_service", kOverloadRetryAfter };
   }
-  aState.retries[aRequest.service->name].recordRequest(aState.now);
+  aState.retries[aRequest.service->name].recordRequest(aState.options.retryWindow, aState.now);
   return std::nullopt;
 }
 
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -91,7 +91,7 @@
   std::vector<std::string> relays; ///< endpoints
   std::uint64_t answered = 0;      ///< highest number of an answered poll
   std::deque<SentPoll> sentPolls;  ///< in order of their numbers
-  std::uint32_t gateways = 1;
+  RecentMaximum gateways;          ///< gateways that the leader hears
   TimePoint listRequestedAt;
 };
 
--- a/tests/gateway/fixture.h
+++ b/tests/gateway/fixture.h
@@ -49,10 +49,12 @@
     return options;
   }
 
-  /// Delivers the routing table, the list of upstreams and tokens.
+  /// Delivers the routing table, the list of upstreams and tokens, to a process that has run for long enough to use its
+  /// part of the fleet's slack in retries.
   void start(Tokens aIssued = 5000)
   {
     tick();
+    now += options().retryWindow;
     issued = aIssued;
     answer();
     clearActions();
--- a/tests/gateway/placement_test.cpp
+++ b/tests/gateway/placement_test.cpp
@@ -198,15 +198,39 @@
     RetryLimiter limiter;
     for (int i = 0; i < 100; ++i) {
       const TimePoint now{ Duration{ 100 * i } };
-      limiter.recordRequest(now);
+      limiter.recordRequest(kWindow, now);
       ++requests;
-      taken += limiter.take(0.2, 60, kGateways, kWindow, now) ? 1 : 0;
+      taken += limiter.take(0.2, 60.0 / kGateways, kWindow, now) ? 1 : 0;
     }
   }
   CHECK(taken > 0);
   CHECK(static_cast<double>(taken) <= 0.2 * static_cast<double>(requests) + 60);
 }
 
+// Guards against a new leader, which knows few gateways at first, enlarging the portions, and against portions that
+// stay small after gateways were taken away.
+TEST(RetryLimiter, usesTheMostGatewaysOfTheWindow)
+{
+  constexpr Duration kWindow{ 10'000 };
+  RecentMaximum gateways;
+  TimePoint now{ Duration{ 1'000'000 } };
+  CHECK_EQUAL(0U, gateways.value(kWindow, now));
+  gateways.record(7, now);
+  now += Duration{ 60'000 };
+  for (const std::uint32_t known : { 1U, 3U, 6U }) {
+    gateways.record(known, now);
+    CHECK_EQUAL(7U, gateways.value(kWindow, now));
+    now += Duration{ 200 };
+  }
+  for (int i = 0; i < 49; ++i) {
+    gateways.record(6, now);
+    now += Duration{ 200 };
+  }
+  CHECK_EQUAL(6U, gateways.value(kWindow, now));
+  gateways.record(9, now);
+  CHECK_EQUAL(9U, gateways.value(kWindow, now));
+}
+
 TEST_GROUP(RouteIndex)
 {
   RoutingTable table;
