Believe refusals without a request id on new connections only

Operators of similar systems report that a faulty server wrote an earlier refusal once more on a kept connection; callers were told "not run" of requests that a server had run or was running, or such a request ran at a second server.

It can happen here where the copy bears no request id: it was taken for a refusal of the current request. A copy with the id of another request was not believed before either. Cause: a message without a name is attributed by its place in the connection. Now only the first answer on a connection may lack the id; elsewhere such a refusal proves nothing, so an order is neither sent again nor reported as not run.

RequestHeaders.believesRefusalsWithoutAnIdOnNewConnectionsOnly failed before.

--- a/tests/platform/request_headers_test.cpp
+++ b/tests/platform/request_headers_test.cpp
@@ -178,6 +178,19 @@
   CHECK_FALSE(decodeHead({}, "q1", { 421, "", { { "X-Request-Id", "q9" } } }).otherInstance);
 }
 
+// Guards against a late copy of an earlier refusal that names no request being taken for one of the current request: a
+// caller would be told "not run" of an order that is running, or the order would run twice.
+TEST(RequestHeaders, believesRefusalsWithoutAnIdOnNewConnectionsOnly)
+{
+  for (const bool kept : { false, true }) {
+    const auto refusal = decodeHead({}, "q1", { 503, "", { { "X-Not-Executed", "1" } }, kept });
+    CHECK_EQUAL(!kept, refusal.notRun);
+    CHECK_FALSE(refusal.genuine);
+    CHECK_EQUAL(!kept, decodeHead({}, "q1", { 421, "", {}, kept }).otherInstance);
+    CHECK(decodeHead({}, "q1", { 503, "", { { "X-Not-Executed", "1" }, { "X-Request-Id", "q1" } }, kept }).notRun);
+  }
+}
+
 // Guards against a caller being told to come back at once because part of a second was cut off.
 TEST(RequestHeaders, saysWhenToComeBackInFractions)
 {
