Read the list of upstreams beside entries that cannot be read

Here a number too large in any field of one entry, or a string that is no UTF-8, made the decoder refuse the whole list for as long as the entry stood: gateways and controllers kept the old one and sent calls to upstreams that had left. Cause: the list is decoded as one document, so the smallest unit that can fail is the list. Numbers out of range were taken as they came: slots of -5 or 1e30, a cold time of 1e300, port 0.

Deep nesting was borne before and is tested, too. A page without an end of its list is refused as before.

--- a/tests/platform/node_file_test.cpp
+++ b/tests/platform/node_file_test.cpp
@@ -109,6 +109,44 @@
   CHECK_FALSE(decodePage("{}").has_value());
 }
 
+// Guards against one odd entry, left by another writer, making the list unreadable or being called: a number too large
+// in any field, deep nesting, numbers and ports out of range, and bytes that are no text.
+TEST(InstanceList, readsTheOtherEntriesBesideAnOddOne)
+{
+  constexpr std::size_t kDepth = 1'000'000;
+  const std::string sound = R"("Service": "s", "Address": "10.0.0.1:80", "Zone": "a", "State": "ready")";
+  const std::vector<std::string> odd = {
+    "{\"Id\": \"o\", \"Extra\": 1e400, " + sound + "}",
+    "{\"Id\": \"o\", \"ColdRemainingMs\": 1e400, " + sound + "}",
+    "{\"Id\": \"o\", \"ColdRemainingMs\": 1e300, " + sound + "}",
+    "{\"Id\": \"o\", \"Slots\": -5, " + sound + "}",
+    "{\"Id\": \"o\", \"Slots\": 1e30, " + sound + "}",
+    "{\"Id\": \"o\", \"Slots\": 18446744073709551615, " + sound + "}",
+    "{\"Id\": \"\xff\xfe]}\", " + sound + "}",
+    R"({"Id": "o", "Service": "s", "Address": "10.0.0.1:0", "Zone": "a", "State": "ready"})",
+    R"({"Id": "o", "Service": "s", "Address": "10.0.0.1:70000", "Zone": "a", "State": "ready"})",
+    "{\"Id\": " + std::string(kDepth, '[') + std::string(kDepth, ']') + ", " + sound + "}",
+    R"({"Id": "\"]},{\\"})",
+    "nul",
+    "[[1]]",
+    "",
+  };
+  for (const auto& entry : odd) {
+    for (const bool first : { false, true }) {
+      const auto good = "{\"Id\": \"i-1\", " + sound + "}";
+      const auto page =
+        decodePage("{\"Instances\": [" + (first ? entry + "," + good : good + "," + entry) + "], \"Next\": \"p-2\"}");
+      CHECK(page.has_value());
+      CHECK_EQUAL(1U, page.value().upstreams.size());
+      STRCMP_EQUAL("i-1", page.value().upstreams[0].id.c_str());
+      STRCMP_EQUAL("p-2", page.value().next.c_str());
+    }
+  }
+  for (const auto* broken : { R"({"Instances": [{"Id": "x)", R"({"Instances": [)", R"({"Instances": 5})", "", "[]" }) {
+    CHECK_FALSE(decodePage(broken).has_value());
+  }
+}
+
 TEST_GROUP(ControlApi)
 {
   std::string location;
