End resumed streams only when they are whole, and pass no error on within one

Operators of similar systems report that a stream broke off and the next server answered with an error: clients found its text in the middle of their stream, or the stream ended as if it were complete.

Here the text of an error was not passed on, but two things could happen. A resumed stream whose next upstream closed the connection before its first event, in an answer without length, ended as if it were complete: only the events of the whole request were counted. And an error that an upstream sends as an event without an id was passed on after a resume, since only ids that are numbers were compared. Besides, an error that answers a resume was read to its end, which may not come, before the attempt failed. Class of fault: a check of a part is answered by the state of the whole.

Now a resumed stream without a length must bring an event; the first block with an id or data must bear the next id; an answer to a resume that is no event stream fails the attempt at its head.

GatewayStreams.endsAResumedStreamOnlyWhenItIsWhole, .resumesOnlyAtTheNextId and .passesNoErrorOnWithinAStream failed before (the last one because the attempt waited for the end of the error).

--- a/include/rhubarbarch/gateway/events.h
+++ b/include/rhubarbarch/gateway/events.h
@@ -77,6 +77,7 @@
   bool genuine = false;                 ///< carries the upstream's signature and the request id
   bool notRun = false;                  ///< the upstream states that it did not run the request
   bool otherInstance = false;           ///< the address belongs to an instance other than the expected one
+  bool untilClose = false;              ///< the answer has no length and ends with its connection
   bool leaving = false;                 ///< the upstream accepts no further requests on this connection
   std::optional<double> callsPerSecond; ///< rate limit that it names for the calls of all callers together
   std::optional<Duration> retryAfter;   ///< time in which the upstream asks for no calls
--- a/src/gateway/attempts.cpp
+++ b/src/gateway/attempts.cpp
@@ -297,6 +297,16 @@
   return aRequest.route->kind == CallKind::kStream && succeeded(head) && isEventStream(head);
 }
 
+/// @return whether the stream that has ended is whole. An answer without length or chunks ends with its connection,
+/// also when its upstream crashes, so it must have brought an event. A resumed one with a length may be empty.
+bool
+isWholeStream(const Request& aRequest)
+{
+  const auto& attempt = *aRequest.attempt;
+  const auto begun = attempt.head->untilClose ? attempt.eventsBefore : 0;
+  return !aRequest.stream.partial() && aRequest.stream.events() > begun;
+}
+
 /// @return whether the upstream's answer is a server error and another upstream may run the request
 bool
 isRetryableFailure(const Request& aRequest, const UpstreamHead& aHead)
@@ -428,6 +438,13 @@
     }
   }
   request->attempt->head = std::make_unique<UpstreamHead>(aHead);
+  if (request->headSent && !isForwardedAsStream(*request)) {
+    failAttempt(aState,
+                *request,
+                "resume was not answered with an event stream: status " + std::to_string(aHead.status),
+                true,
+                true);
+  }
 }
 
 void
@@ -456,8 +473,7 @@
   }
   const auto& head = *request->attempt->head;
   if (isForwardedAsStream(*request)) {
-    // An answer without length or chunks ends with its connection, also when its upstream crashes.
-    if (request->stream.partial() || request->stream.events() == 0) {
+    if (!isWholeStream(*request)) {
       onBrokenOff(aState, *request);
       failAttempt(aState, *request, "stream ended before or within an event", true, true);
     } else {
@@ -466,14 +482,6 @@
     }
     return;
   }
-  if (request->headSent) {
-    failAttempt(aState,
-                *request,
-                "resume was not answered with an event stream: status " + std::to_string(head.status),
-                true,
-                true);
-    return;
-  }
   recordFirstBytes(aState, *request);
   const auto& route = *request->route;
   if (isRetryableFailure(*request, head) && request->mayHaveRun < route.maxAttempts &&
--- a/src/gateway/event_stream.cpp
+++ b/src/gateway/event_stream.cpp
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr std::string_view kIdField = "id:";
+constexpr std::string_view kDataField = "data:";
+constexpr std::string_view kNextDataField = "\ndata:";
 constexpr std::string_view kLfLf = "\n\n";
 constexpr std::string_view kCrLfCrLf = "\r\n\r\n";
 
@@ -41,6 +43,12 @@
   return {};
 }
 
+bool
+hasData(std::string_view aEvent)
+{
+  return aEvent.starts_with(kDataField) || aEvent.find(kNextDataField) != std::string_view::npos;
+}
+
 std::optional<std::int64_t>
 parseNumber(std::string_view aText)
 {
@@ -75,10 +83,11 @@
 EventStream::countEvent(std::string_view aEvent)
 {
   const auto id = eventId(aEvent);
-  if (std::exchange(mCheckNext, false)) {
+  // A block without an id and data, such as a comment, is no event to resume at.
+  if (mCheckNext && (!id.empty() || hasData(aEvent))) {
+    mCheckNext = false;
     const auto before = parseNumber(mLastId);
-    const auto now = parseNumber(id);
-    if (before && now && *now != *before + 1) {
+    if (before && parseNumber(id) != *before + 1) {
       mConsistent = false;
       return;
     }
--- a/src/net/http_exchange.cpp
+++ b/src/net/http_exchange.cpp
@@ -302,6 +302,7 @@
   for (const auto& field : mParser->get()) {
     head.fields.push_back({ std::string(field.name_string()), std::string(field.value()) });
   }
+  head.untilClose = mParser->need_eof();
   head.kept = mReused;
   const auto self = shared_from_this();
   mEvents.head(head);
--- a/src/net/http_exchange.h
+++ b/src/net/http_exchange.h
@@ -40,8 +40,9 @@
 {
   std::int32_t status = 0;
   std::string contentType;
-  HttpFields fields; ///< all of them
-  bool kept = false; ///< on a connection that has carried other calls, whose answers may be sent again
+  HttpFields fields;       ///< all of them
+  bool untilClose = false; ///< the answer has no length and ends with its connection
+  bool kept = false;       ///< on a connection that has carried other calls, whose answers may be sent again
 };
 
 /// Why an exchange failed.
--- a/tests/gateway/streams_test.cpp
+++ b/tests/gateway/streams_test.cpp
@@ -22,6 +22,20 @@
     }
     return bytes;
   }
+
+  /// Has a stream break off after two events.
+  /// @return the call that should continue it
+  StartCall breakOff()
+  {
+    fleet.call("/summary/1", 100, 50);
+    const auto first = fleet.takeOne<StartCall>();
+    fleet.head(first.exchange, 200, true);
+    fleet.handle(UpstreamData{ first.exchange, Fixture::event(1) + Fixture::event(2) });
+    fleet.handle(UpstreamError{ first.exchange, true, false, "reset" });
+    const auto second = fleet.takeOne<StartCall>();
+    fleet.clearActions();
+    return second;
+  }
 };
 
 // Guards against delaying complete events, and against forwarding an incomplete one.
@@ -116,6 +130,55 @@
   CHECK_EQUAL(1U, fleet.take<ReplyAbort>().size());
 }
 
+// Guards against the text of an error in the middle of a stream, against waiting for the end of that error, and against
+// the stream ending as if it were complete: the upstream that should continue it answers with something else.
+TEST(GatewayStreams, passesNoErrorOnWithinAStream)
+{
+  for (const std::int32_t status : { 500, 503, 404, 302, 200 }) {
+    fleet.clearActions();
+    const auto second = breakOff();
+    fleet.head(second.exchange, status, false);
+    fleet.handle(UpstreamData{ second.exchange, "id: 3\ndata: error\n\n" });
+    CHECK_EQUAL(1U, fleet.take<ReplyAbort>().size());
+    CHECK_EQUAL(1U, fleet.take<CancelCall>().size());
+    CHECK(fleet.take<ReplyEnd>().empty());
+    STRCMP_EQUAL("", forwarded().c_str());
+  }
+}
+
+// Guards against a stream that broke off ending as if it were complete because the next upstream closes the connection
+// before its first event, as one that crashes does. An answer with a length may have nothing left to bring.
+TEST(GatewayStreams, endsAResumedStreamOnlyWhenItIsWhole)
+{
+  for (const bool untilClose : { false, true }) {
+    fleet.clearActions();
+    const auto second = breakOff();
+    UpstreamHead head;
+    head.exchange = second.exchange;
+    head.status = 200;
+    head.genuine = true;
+    head.untilClose = untilClose;
+    head.fields = { { "Content-Type", "text/event-stream" } };
+    fleet.handle(head);
+    fleet.handle(UpstreamEnd{ second.exchange });
+    CHECK_EQUAL(untilClose ? 0U : 1U, fleet.take<ReplyEnd>().size());
+    CHECK_EQUAL(untilClose ? 1U : 0U, fleet.take<ReplyAbort>().size());
+  }
+}
+
+// Guards against an error's text that an upstream sends as an event without an id, where it should continue a stream;
+// comments may come first.
+TEST(GatewayStreams, resumesOnlyAtTheNextId)
+{
+  const auto second = breakOff();
+  fleet.head(second.exchange, 200, true);
+  fleet.handle(UpstreamData{ second.exchange, ": begin\n\n" });
+  CHECK(fleet.take<ReplyAbort>().empty());
+  fleet.handle(UpstreamData{ second.exchange, "data: error\n\n" });
+  CHECK_EQUAL(1U, fleet.take<ReplyAbort>().size());
+  STRCMP_EQUAL(": begin\n\n", forwarded().c_str());
+}
+
 // Guards against buffering an answer without limit when its caller reads slowly.
 TEST(GatewayStreams, pausesWhileTheCallerReadsSlowly)
 {
