--- a/src/net/http_exchange.h
+++ b/src/net/http_exchange.h
@@ -101,7 +101,8 @@
 std::shared_ptr<HttpExchange>
 startHttpExchange(std::shared_ptr<HttpPool> aPool, HttpCall aCall, HttpCallEvents aEvents);
 
-/// Sends a request and gathers its answer.
+/// Sends a request and gathers its answer. An answer of more than 4 MiB, or one that takes longer than four times the
+/// timeout of the call, fails.
 /// @param aDone gets status and body; status 0 when the exchange failed, with the reason as body
 std::shared_ptr<HttpExchange>
 fetch(std::shared_ptr<HttpPool> aPool,
