Count refusals in the error rate of an upstream

Callers were refused while sound upstreams had room: an upstream that refuses calls as not run has few in progress, so it looked idle and got most of the next ones, first attempts included, which no retry limit counts; each refusal needs a repeat elsewhere, of which the fleet allows few.

Cause: a refusal ended the attempt without any record of it. Now it counts in the smoothed error rate like a failure. The rate is compared with the lowest one of the service, so upstreams that are all full change nothing.

GatewayRequests.prefersServersThatDoNotRefuse failed before: all calls went to the refusing server until the retry limit was used up.

--- a/src/gateway/attempts.cpp
+++ b/src/gateway/attempts.cpp
@@ -419,6 +419,9 @@
     recordRest(aState, *upstream, aHead);
   }
   if (aHead.notRun) {
+    if (upstream != nullptr) {
+      recordAnswer(*upstream, true, aState.now);
+    }
     logRefused(aState, *request, aHead);
     failAttempt(
       aState, *request, "upstream refused the request with status " + std::to_string(aHead.status), false, true);
--- a/tests/gateway/requests_test.cpp
+++ b/tests/gateway/requests_test.cpp
@@ -190,6 +190,27 @@
   CHECK(fleet.take<StartCall>().empty());
 }
 
+// Guards against sending most requests to the server that refuses them: it has few in progress, so it looks idle, and
+// each refusal needs a repeat elsewhere, of which the fleet allows few.
+TEST(GatewayRequests, prefersServersThatDoNotRefuse)
+{
+  std::vector<std::string> chosen;
+  for (int i = 0; i < 60; ++i) {
+    fleet.call("/order/1");
+    auto call = fleet.takeOne<StartCall>();
+    chosen.push_back(call.upstreamId);
+    if (call.upstreamId == "d1") {
+      fleet.notRun(call.exchange);
+      call = fleet.takeOne<StartCall>();
+    }
+    fleet.head(call.exchange, 200);
+    fleet.handle(UpstreamEnd{ call.exchange });
+    fleet.tick(Duration{ 20 });
+  }
+  CHECK_COMPARE(std::ranges::count(chosen, "d1"), <, 15);
+  CHECK_EQUAL(200, fleet.status());
+}
+
 // Guards against waiting for an unresponsive server until the deadline of an idempotent request.
 TEST(GatewayRequests, leavesAnUnresponsiveServer)
 {
