--- a/src/net/http_exchange.h
+++ b/src/net/http_exchange.h
@@ -41,8 +41,8 @@
   std::int32_t status = 0;
   std::string contentType;
   HttpFields fields;       ///< all of them
-  bool untilClose = false; ///< the answer has no length and ends with its connection
   bool kept = false;       ///< on a connection that has carried other calls, whose answers may be sent again
+  bool untilClose = false; ///< the answer has no length and ends with its connection
 };
 
 /// Why an exchange failed.
