Keep the rest that an upstream asks for in an answer without signature

A 429 or 503 that bears the id of the request, or comes first on its connection, asks for rest also when it is neither a refusal as not run nor signed; it was passed over. Leaving an upstream out for some time does no harm, so no proof is needed. A copy of an answer to another request still asks for nothing.

GatewayRest.keepsTheRestOfAnAnswerWithoutSignature failed before.

--- a/include/rhubarbarch/gateway/events.h
+++ b/include/rhubarbarch/gateway/events.h
@@ -80,7 +80,7 @@
   bool untilClose = false;              ///< the answer has no length and ends with its connection
   bool leaving = false;                 ///< the upstream accepts no further requests on this connection
   std::optional<double> callsPerSecond; ///< rate limit that it names for the calls of all callers together
-  std::optional<Duration> retryAfter;   ///< time in which the upstream asks for no calls
+  std::optional<Duration> retryAfter;   ///< time for which the upstream asks for no calls
 };
 
 struct UpstreamData
--- a/src/gateway/attempts.cpp
+++ b/src/gateway/attempts.cpp
@@ -179,7 +179,8 @@
   return { kUnavailable, aError, rests ? soonest - aState.now : kBusyRetryAfter };
 }
 
-/// Records the rest that an upstream asks for. Only a refusal and a signed answer to this request are evidence of it.
+/// Records the rest that an upstream asks for, also in an answer that is neither a refusal nor signed: to leave it out
+/// for some time does no harm.
 void
 recordRest(State& aState, Upstream& aUpstream, const UpstreamHead& aHead)
 {
@@ -416,6 +417,8 @@
   }
   if (upstream != nullptr && (aHead.genuine || aHead.notRun)) {
     onNamedLimit(aState, *upstream, aHead);
+  }
+  if (upstream != nullptr) {
     recordRest(aState, *upstream, aHead);
   }
   if (aHead.notRun) {
--- a/tests/gateway/rest_test.cpp
+++ b/tests/gateway/rest_test.cpp
@@ -49,6 +49,23 @@
   CHECK_EQUAL(1U, fleet.take<StartCall>().size());
 }
 
+// Guards against a rest being missed because the answer that asks for it bears no signature.
+TEST(GatewayRest, keepsTheRestOfAnAnswerWithoutSignature)
+{
+  fleet.call("/order/1");
+  const auto first = fleet.takeOne<StartCall>();
+  UpstreamHead head;
+  head.exchange = first.exchange;
+  head.status = 503;
+  head.retryAfter = Duration{ 3000 };
+  fleet.handle(head);
+  CHECK_EQUAL(502, fleet.status());
+  for (int i = 0; i < 10; ++i) {
+    fleet.call("/order/1");
+    CHECK(first.upstreamId != fleet.takeOne<StartCall>().upstreamId);
+  }
+}
+
 // Guards against a later refusal that asks for less cutting a rest short.
 TEST(GatewayRest, keepsTheLongestRest)
 {
--- a/tests/platform/request_headers_test.cpp
+++ b/tests/platform/request_headers_test.cpp
@@ -161,6 +161,8 @@
   CHECK(restOf("0.0501") == Duration{ 51 });
   CHECK(restOf("0") == Duration{ 0 });
   CHECK(restOf("1e300") == Duration{ 86'400'000 });
+  const HttpFields other{ { "X-Request-Id", "q9" }, { "Retry-After", "2" } };
+  CHECK_FALSE(decodeHead({}, "q1", { 429, "", other }).retryAfter.has_value());
   for (const auto* text : { "", "-1", "soon", "nan", "inf", "1e999", "Sat, 05 Dec 2026 01:44:25 GMT" }) {
     CHECK_FALSE(restOf(text).has_value());
   }
