--- a/src/gateway/attempts.cpp
+++ b/src/gateway/attempts.cpp
@@ -10,13 +10,6 @@
 
 namespace {
 
-/// Retry-After when no upstream could take the request; about one service time.
-constexpr Duration kBusyRetryAfter{ 400 };
-/// A rest is extended by up to this fraction, at random, so that gateways that were asked at the same time do not
-/// return at the same time.
-constexpr double kRestJitter = 0.1;
-constexpr std::int32_t kTooManyRequests = 429;
-constexpr std::int32_t kUnavailable = 503;
 /// Limit on sends of one request, including those refused as not run; more would add load to a service that is full.
 constexpr int kMaxSends = 3;
 constexpr std::int32_t kFirstServerError = 500;
@@ -162,37 +155,6 @@
         { "retries", aRetries } });
 }
 
-/// @return the error for a request that no upstream can take now, with the soonest time at which one may
-RequestError
-unavailable(const State& aState, const Request& aRequest, const char* aError)
-{
-  auto soonest = TimePoint::max();
-  bool rests = false;
-  for (const auto& [id, upstream] : aState.upstreams.byId) {
-    if (!usable(upstream) || upstream.entry.service != aRequest.service->name) {
-      continue;
-    }
-    const bool resting = isResting(upstream.rest, aState.now);
-    rests = rests || resting;
-    soonest = std::min(soonest, resting ? upstream.rest.until : aState.now + kBusyRetryAfter);
-  }
-  return { kUnavailable, aError, rests ? soonest - aState.now : kBusyRetryAfter };
-}
-
-/// Records the rest that an upstream asks for, also in an answer that is neither a refusal nor signed: to leave it out
-/// for some time does no harm.
-void
-recordRest(State& aState, Upstream& aUpstream, const UpstreamHead& aHead)
-{
-  if (!aHead.retryAfter || (aHead.status != kTooManyRequests && aHead.status != kUnavailable)) {
-    return;
-  }
-  const auto factor = 1 + std::uniform_real_distribution<double>(0, kRestJitter)(aState.random);
-  askForRest(aUpstream.rest,
-             Duration(static_cast<std::int64_t>(static_cast<double>(aHead.retryAfter->count()) * factor)),
-             aState.now);
-}
-
 void
 logRefused(State& aState, const Request& aRequest, const UpstreamHead& aHead)
 {
@@ -222,7 +184,7 @@
   logAttemptFailed(aState, aRequest, aReason, again);
   endAttempt(aState, aRequest, true);
   if (!again) {
-    failRequest(aState, aRequest.call.caller, unavailable(aState, aRequest, "upstream_failed"));
+    failRequest(aState, aRequest.call.caller, unavailableError(aState, aRequest, "upstream_failed"));
     return;
   }
   ++aState.totals.retries;
@@ -339,7 +301,7 @@
     return;
   }
   if (placed.upstream == nullptr) {
-    failRequest(aState, aRequest.call.caller, unavailable(aState, aRequest, "no_upstream"));
+    failRequest(aState, aRequest.call.caller, unavailableError(aState, aRequest, "no_upstream"));
     return;
   }
   aRequest.waitsUntil.reset();
--- a/src/gateway/retry_share.h
+++ b/src/gateway/retry_share.h
@@ -37,8 +37,8 @@
   }
 
 private:
-  std::deque<std::pair<TimePoint, std::uint32_t>>
-    mValues; ///< each with the time from which it was in force; decreasing
+  /// Decreasing values, each with the time from which it was in force.
+  std::deque<std::pair<TimePoint, std::uint32_t>> mValues;
 };
 
 /// Limits the retries of one service to this gateway's portion of the fleet's limit, by counting requests and retries
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -196,6 +196,16 @@
 RequestError
 limitedError(const State& aState, const Request& aRequest);
 
+// rests.cpp
+
+/// Records the rest that an upstream asks for, also in an answer that is neither a refusal nor signed: to leave it out
+/// for some time does no harm.
+void
+recordRest(State& aState, Upstream& aUpstream, const UpstreamHead& aHead);
+/// @return the error for a request that no upstream can take now, with the soonest time at which one may
+RequestError
+unavailableError(const State& aState, const Request& aRequest, const char* aError);
+
 // quarantine.cpp
 
 /// @return the reason to refuse the request if it has a quarantined subject
--- a/tests/gateway/placement_test.cpp
+++ b/tests/gateway/placement_test.cpp
@@ -207,6 +207,16 @@
   CHECK(static_cast<double>(taken) <= 0.2 * static_cast<double>(requests) + 60);
 }
 
+// Guards against a service without retries keeping every request that it has ever got in memory.
+TEST(RetryLimiter, forgetsRequestsBeforeTheWindow)
+{
+  RetryLimiter limiter;
+  for (int i = 0; i < 1000; ++i) {
+    limiter.recordRequest(Duration{ 10'000 }, TimePoint{ Duration{ 100 * i } });
+  }
+  CHECK_COMPARE(limiter.requests(), <=, 101U);
+}
+
 // Guards against a new leader, which knows few gateways at first, enlarging the portions, and against portions that
 // stay small after gateways were taken away.
 TEST(RetryLimiter, usesTheMostGatewaysOfTheWindow)
