--- a/tests/platform/node_file_test.cpp
+++ b/tests/platform/node_file_test.cpp
@@ -4,6 +4,10 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+#include <string>
+#include <vector>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace rhubarbarch;
@@ -134,8 +138,11 @@
   for (const auto& entry : odd) {
     for (const bool first : { false, true }) {
       const auto good = "{\"Id\": \"i-1\", " + sound + "}";
-      const auto page =
-        decodePage("{\"Instances\": [" + (first ? entry + "," + good : good + "," + entry) + "], \"Next\": \"p-2\"}");
+      std::vector<std::string> entries{ good, entry };
+      if (first) {
+        std::ranges::reverse(entries);
+      }
+      const auto page = decodePage(R"({"Instances": [)" + entries[0] + "," + entries[1] + R"(], "Next": "p-2"})");
       CHECK(page.has_value());
       CHECK_EQUAL(1U, page.value().upstreams.size());
       STRCMP_EQUAL("i-1", page.value().upstreams[0].id.c_str());
