Move the state of upstreams into a module of its own

What a gateway knows of an upstream lay in the gateway's folder, and the learned model of engines would have been added there. The list, rests, rate limits and the prompt cache are now src/upstream, below the gateway; platform/ reads the exchange's header from include/. No logic changed.

--- a/include/rhubarbarch/gateway/events.h
+++ b/include/rhubarbarch/gateway/events.h
@@ -4,6 +4,7 @@
 #include "rhubarbarch/base/log_line.h"
 #include "rhubarbarch/base/time.h"
 #include "rhubarbarch/router/events.h"
+#include "rhubarbarch/upstream/prompt_cache.h"
 #include "rhubarbarch/wire/message.h"
 
 #include <cstdint>
@@ -36,12 +37,7 @@
 {
 };
 
-/// A part of a prompt. Requests with the same part id share its tokens.
-struct PromptPart
-{
-  std::string id;
-  Tokens tokens = 0;
-};
+using upstream::PromptPart;
 
 /// A complete request of a caller, decoded by the deployment's adapter.
 struct CallerCall
--- a/src/gateway/call_limit.h
+++ b/include/rhubarbarch/upstream/call_limit.h
@@ -6,7 +6,7 @@
 #include <deque>
 #include <optional>
 
-namespace rhubarbarch::gateway {
+namespace rhubarbarch::upstream {
 
 /// Rate limit of one upstream, as far as this gateway knows, and the calls that the leader permits under it.
 struct CallLimit
@@ -55,4 +55,4 @@
 void
 removeLimit(CallLimit& aLimit) noexcept;
 
-} // namespace rhubarbarch::gateway
+} // namespace rhubarbarch::upstream
--- a/src/gateway/prompt_cache.h
+++ b/include/rhubarbarch/upstream/prompt_cache.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "rhubarbarch/gateway/events.h"
+#include "rhubarbarch/base/ids.h"
 
 #include <cstddef>
 #include <list>
@@ -8,7 +8,14 @@
 #include <unordered_map>
 #include <vector>
 
-namespace rhubarbarch::gateway {
+namespace rhubarbarch::upstream {
+
+/// A part of a prompt. Requests with the same part id share its tokens.
+struct PromptPart
+{
+  std::string id;
+  Tokens tokens = 0;
+};
 
 /// Estimate of the contents of an engine's prompt cache: the parts of the requests sent to it, without the least
 /// recently used ones once its memory is full. It is not exact because other gateways fill the same cache.
@@ -31,4 +38,4 @@
   Tokens mTokens = 0;
 };
 
-} // namespace rhubarbarch::gateway
+} // namespace rhubarbarch::upstream
--- a/src/gateway/upstream_rest.h
+++ b/include/rhubarbarch/upstream/upstream_rest.h
@@ -2,7 +2,7 @@
 
 #include "rhubarbarch/base/time.h"
 
-namespace rhubarbarch::gateway {
+namespace rhubarbarch::upstream {
 
 /// Time for which an upstream has asked this gateway for no calls.
 struct UpstreamRest
@@ -31,4 +31,4 @@
 void
 endTrial(UpstreamRest& aRest, bool aAnswered) noexcept;
 
-} // namespace rhubarbarch::gateway
+} // namespace rhubarbarch::upstream
--- a/src/gateway/upstreams.h
+++ b/include/rhubarbarch/upstream/upstreams.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "call_limit.h"
-#include "prompt_cache.h"
-#include "upstream_rest.h"
+#include "rhubarbarch/upstream/call_limit.h"
+#include "rhubarbarch/upstream/prompt_cache.h"
+#include "rhubarbarch/upstream/upstream_rest.h"
 
 #include "rhubarbarch/base/time.h"
 #include "rhubarbarch/wire/gateway_messages.h"
@@ -12,7 +12,7 @@
 #include <string>
 #include <vector>
 
-namespace rhubarbarch::gateway {
+namespace rhubarbarch::upstream {
 
 /// State of one upstream at this gateway.
 struct Upstream
@@ -91,4 +91,4 @@
 void
 removeUnlisted(Upstreams& aUpstreams, TimePoint aNow);
 
-} // namespace rhubarbarch::gateway
+} // namespace rhubarbarch::upstream
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -1,7 +1,6 @@
 #pragma once
 
-#include "upstreams.h"
-
+#include "rhubarbarch/upstream/upstreams.h"
 #include "rhubarbarch/wire/routing.h"
 
 #include <set>
@@ -10,6 +9,10 @@
 
 namespace rhubarbarch::gateway {
 
+using upstream::PromptPart;
+using upstream::Upstream;
+using upstream::Upstreams;
+
 /// The properties of a request that placement depends on.
 struct PlacementRequest
 {
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -5,10 +5,10 @@
 #include "plan_budgets.h"
 #include "retry_share.h"
 #include "route_index.h"
-#include "upstreams.h"
 
 #include "rhubarbarch/gateway/events.h"
 #include "rhubarbarch/gateway/options.h"
+#include "rhubarbarch/upstream/upstreams.h"
 
 #include <nlohmann/json_fwd.hpp>
 
@@ -24,6 +24,10 @@
 
 namespace rhubarbarch::gateway {
 
+using upstream::CallLimit;
+using upstream::Upstream;
+using upstream::Upstreams;
+
 /// One call of a request to an upstream.
 struct Attempt
 {
--- a/src/net/http_exchange.cpp
+++ b/src/net/http_exchange.cpp
@@ -1,4 +1,4 @@
-#include "http_exchange.h"
+#include "rhubarbarch/net/http_exchange.h"
 
 #include "ignore_error.h"
 
--- a/src/net/http_fetch.cpp
+++ b/src/net/http_fetch.cpp
@@ -1,4 +1,4 @@
-#include "http_exchange.h"
+#include "rhubarbarch/net/http_exchange.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
--- a/src/net/platform_poller.cpp
+++ b/src/net/platform_poller.cpp
@@ -1,6 +1,6 @@
 #include "rhubarbarch/net/platform_poller.h"
 
-#include "http_exchange.h"
+#include "rhubarbarch/net/http_exchange.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
--- a/src/gateway/call_limit.cpp
+++ b/src/upstream/call_limit.cpp
@@ -1,8 +1,8 @@
-#include "call_limit.h"
+#include "rhubarbarch/upstream/call_limit.h"
 
 #include <algorithm>
 
-namespace rhubarbarch::gateway {
+namespace rhubarbarch::upstream {
 
 namespace {
 
@@ -91,4 +91,4 @@
   aLimit.exhausted = false;
 }
 
-} // namespace rhubarbarch::gateway
+} // namespace rhubarbarch::upstream
--- a/src/gateway/prompt_cache.cpp
+++ b/src/upstream/prompt_cache.cpp
@@ -1,6 +1,6 @@
-#include "prompt_cache.h"
+#include "rhubarbarch/upstream/prompt_cache.h"
 
-namespace rhubarbarch::gateway {
+namespace rhubarbarch::upstream {
 
 void
 PromptCache::use(const std::vector<PromptPart>& aPrompt, Tokens aCapacity)
@@ -42,4 +42,4 @@
   mTokens = 0;
 }
 
-} // namespace rhubarbarch::gateway
+} // namespace rhubarbarch::upstream
--- a/src/gateway/upstream_rest.cpp
+++ b/src/upstream/upstream_rest.cpp
@@ -1,9 +1,9 @@
-#include "upstream_rest.h"
+#include "rhubarbarch/upstream/upstream_rest.h"
 
 #include <algorithm>
 #include <chrono>
 
-namespace rhubarbarch::gateway {
+namespace rhubarbarch::upstream {
 
 namespace {
 
@@ -45,4 +45,4 @@
   aRest.unconfirmed = aRest.unconfirmed && !aAnswered;
 }
 
-} // namespace rhubarbarch::gateway
+} // namespace rhubarbarch::upstream
--- a/src/gateway/upstreams.cpp
+++ b/src/upstream/upstreams.cpp
@@ -1,11 +1,11 @@
-#include "upstreams.h"
+#include "rhubarbarch/upstream/upstreams.h"
 
 #include <algorithm>
 #include <chrono>
 #include <cmath>
 #include <iterator>
 
-namespace rhubarbarch::gateway {
+namespace rhubarbarch::upstream {
 
 namespace {
 
@@ -149,4 +149,4 @@
   });
 }
 
-} // namespace rhubarbarch::gateway
+} // namespace rhubarbarch::upstream
--- a/tests/net/http_fetch_test.cpp
+++ b/tests/net/http_fetch_test.cpp
@@ -1,5 +1,5 @@
-#include "../../src/net/http_exchange.h"
 #include "net_support.h"
+#include "rhubarbarch/net/http_exchange.h"
 
 #include <string>
 
