Tell a shortage of the gateway's own link from failures of upstreams

A gateway now refuses at once what its link cannot carry, and when connections to most upstreams time out it repeats nothing and records no failure of upstreams.

--- a/include/rhubarbarch/gateway/options.h
+++ b/include/rhubarbarch/gateway/options.h
@@ -54,6 +54,8 @@
   Duration minLoggedDelay{ 100 };  ///< a delay of the event loop from this value is logged
   Duration delayLogPeriod{ 1000 }; ///< at most one such log line per period
 
+  double linkRate = 0; ///< bytes a second that the machine's link carries in each direction; zero: unknown
+
   // Rate limits of upstreams
   Duration permitTime{ 500 };    ///< from the poll that requested a call; a few polls
   Duration maxPermitWait{ 350 }; ///< longest wait for a permit while the leader has not refused one
--- a/src/daemon/role_options.cpp
+++ b/src/daemon/role_options.cpp
@@ -83,6 +83,7 @@
   options.retryRatio = aSettings.gatewaySettings.retryRatio;
   options.retrySlack = aSettings.gatewaySettings.retrySlack;
   options.retryWindow = aSettings.gatewaySettings.retryWindow;
+  options.linkRate = aSettings.gatewaySettings.linkRate;
   options.longestLeave = std::min(options.longestLeave, aSettings.shutdownTimeout);
   return options;
 }
--- a/src/gateway/attempts.cpp
+++ b/src/gateway/attempts.cpp
@@ -227,6 +227,7 @@
   recordFirstBytes(aState, aRequest);
   sendStreamHead(aState, aRequest);
   aRequest.undelivered += aEvents.size();
+  recordSent(aState.shortage, aEvents.size(), aState.now);
   aState.actions.emplace_back(ReplyBody{ aRequest.call.caller, std::move(aEvents) });
   if (!aRequest.paused && aRequest.undelivered > aState.options.windowBytes) {
     aRequest.paused = true;
@@ -332,6 +333,7 @@
           { "sends", aRequest.sends },
           { "permits_left", upstream.limit.permits.size() } });
   }
+  recordSent(aState.shortage, aRequest.call.body->size(), aState.now);
   aState.actions.emplace_back(makeCall(aState, aRequest, upstream));
 }
 
@@ -370,6 +372,9 @@
     return;
   }
   auto* upstream = findUpstream(aState, request->attempt->upstreamId);
+  if (upstream != nullptr) {
+    recordUpstreamContact(aState, *upstream, false);
+  }
   if (aHead.otherInstance) {
     if (upstream != nullptr) {
       upstream->listed = false; // another instance now has its address
@@ -476,7 +481,22 @@
   if (idleClose && resendCall(aState, *request)) {
     return;
   }
+  const bool connectTimedOut = !aError.sent && aError.silent;
+  bool linkShort = false;
   if (auto* upstream = findUpstream(aState, request->attempt->upstreamId)) {
+    if (connectTimedOut) {
+      recordUpstreamContact(aState, *upstream, true);
+      linkShort = connectionsFail(aState.shortage, aState.now);
+    }
+    if (linkShort) {
+      // The time-out says nothing about the upstream, and a repeat would add load to the link.
+      logAttemptFailed(aState, *request, aError.detail, false);
+      --request->mayHaveRun;
+      --request->sends;
+      endAttempt(aState, *request, true);
+      failRequest(aState, request->call.caller, linkError());
+      return;
+    }
     if (!aError.sent || aError.silent) {
       recordUnreachable(*upstream, aState.now);
     } else {
--- a/src/gateway/finish.cpp
+++ b/src/gateway/finish.cpp
@@ -105,6 +105,7 @@
   head.httpStatus = answer.status;
   head.fields = answer.fields;
   head.contentLength = aRequest.body.size();
+  recordSent(aState.shortage, aRequest.body.size(), aState.now);
   aState.actions.emplace_back(std::move(head));
   if (!aRequest.body.empty()) {
     aState.actions.emplace_back(ReplyBody{ caller, std::move(aRequest.body) });
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -105,6 +105,7 @@
   mState->boot = aBoot;
   mState->random = aRandom;
   mState->link.controllers = aOptions.controllers;
+  mState->shortage.linkRate = aOptions.linkRate;
   mState->options = std::move(aOptions);
 }
 
@@ -142,6 +143,9 @@
     { "rhubarbarch_gateway_quarantined_total", "", number(state.totals.quarantined) },
     { "rhubarbarch_gateway_quarantine_subjects", "", number(state.crashes.quarantined.size()) },
     { "rhubarbarch_gateway_requests", "", number(state.requests.size()) },
+    { "rhubarbarch_gateway_link_refused_total", "", number(state.shortage.refused) },
+    { "rhubarbarch_gateway_link_connect_timeouts_total", "", number(state.shortage.timeouts) },
+    { "rhubarbarch_gateway_link_queued_bytes", "", state.shortage.queuedBytes },
     { "rhubarbarch_gateway_held_bytes", "", number(state.heldBytes) },
     { "rhubarbarch_gateway_upstreams", "", number(state.upstreams.byId.size()) },
     { "rhubarbarch_gateway_routing_version", "", number(state.index ? state.index->table.version : 0) }
--- a/src/gateway/overload.cpp
+++ b/src/gateway/overload.cpp
@@ -3,10 +3,18 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace rhubarbarch::gateway {
 
+namespace {
+
+/// Retry-After when another gateway can take the request at once: short, but not zero.
+constexpr Duration kElsewhereRetryAfter{ 50 };
+
+} // namespace
+
 void
 onLoopDelay(State& aState, Duration aDelay)
 {
@@ -33,6 +41,38 @@
   return aState.loop.sustained >= aState.options.overloadDelay;
 }
 
+void
+recordUpstreamContact(State& aState, const Upstream& aUpstream, bool aTimedOut)
+{
+  auto& shortage = aState.shortage;
+  const bool local = aUpstream.entry.dataCentre == aState.options.dataCentre;
+  recordContact(shortage, { aState.now, aUpstream.entry.id, local, aTimedOut });
+  if (!aTimedOut || !connectionsFail(shortage, aState.now)) {
+    return;
+  }
+  ++shortage.timeouts;
+  lowerLinkShare(shortage, aState.now);
+  if (aState.now - shortage.loggedAt < aState.options.delayLogPeriod) {
+    return;
+  }
+  shortage.loggedAt = aState.now;
+  log(aState,
+      Severity::kWarning,
+      "link_short",
+      { { "link_rate", std::llround(shortage.linkRate) },
+        { "usable_share", shortage.usableShare },
+        { "sent_rate", std::llround(shortage.sentRate) },
+        { "queued_bytes", std::llround(shortage.queuedBytes) },
+        { "connect_timeouts", shortage.timeouts },
+        { "refused", shortage.refused } });
+}
+
+RequestError
+linkError()
+{
+  return { 503, "link_short", kElsewhereRetryAfter };
+}
+
 void
 onCallerAbandoned(State& aState, const CallerAbandoned& aAbandoned)
 {
--- a/src/gateway/requests.cpp
+++ b/src/gateway/requests.cpp
@@ -74,11 +74,15 @@
 }
 
 std::optional<RequestError>
-checkCapacity(const State& aState, const Request& aRequest)
+checkCapacity(State& aState, const Request& aRequest)
 {
   if (overloaded(aState)) {
     return RequestError{ 503, "event_loop_late", kElsewhereRetryAfter };
   }
+  if (!linkCarries(aState.shortage, aRequest.call.body->size(), aState.now)) {
+    ++aState.shortage.refused;
+    return linkError();
+  }
   const auto bytes = aState.heldBytes + aRequest.call.body->size();
   if (aState.requests.size() >= aState.options.maxRequests || bytes > aState.options.maxHeldBytes) {
     return RequestError{ 503, "overloaded", kOverloadRetryAfter };
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -2,6 +2,7 @@
 
 #include "crash_evidence.h"
 #include "event_stream.h"
+#include "local_shortage.h"
 #include "plan_budgets.h"
 #include "retry_share.h"
 #include "route_index.h"
@@ -143,6 +144,7 @@
   std::uint64_t lastExchange = 0;
   std::size_t heldBytes = 0; ///< request bodies of all requests
   LoopState loop;
+  LocalShortage shortage;
   std::optional<TimePoint> leavingSince;
   bool stopped = false;
   Totals totals;
@@ -229,6 +231,12 @@
 /// @return whether the event loop is so late that new requests should go to another gateway
 bool
 overloaded(const State& aState) noexcept;
+/// Records an answer of an upstream, or a connection attempt to it that timed out.
+void
+recordUpstreamContact(State& aState, const Upstream& aUpstream, bool aTimedOut);
+/// @return the error of a request that this machine's link cannot carry now; another gateway may
+RequestError
+linkError();
 void
 onCallerAbandoned(State& aState, const CallerAbandoned& aAbandoned);
 
