Leave a silent engine only when the learned estimate says so

Now it is overdue only beyond the estimate and three deviations, and goes elsewhere only if the other engine answers before the deadline and clearly sooner, and need not read more than an engine at work does.

--- a/include/rhubarbarch/gateway/options.h
+++ b/include/rhubarbarch/gateway/options.h
@@ -35,7 +35,8 @@
   Duration maxTokenWait{ 350 };    ///< longest wait for tokens; two elections would exceed any target latency
 
   // Calls
-  double responseTimeoutFactor = 1.2;     ///< of the target latency; then a repeatable call is tried elsewhere
+  double responseTimeoutFactor = 1.2; ///< of the target latency; then a repeatable call is tried elsewhere
+  double responseDeviations = 3; ///< engines: also not before the estimate and as many deviations; 1 in 700 if normal
   Duration minResponseTimeout{ 250 };     ///< lower bound of that timeout for very short target latencies
   Duration minAttemptTime{ 60 };          ///< no further attempt starts with less time left
   std::size_t windowBytes = 262144;       ///< undelivered answer of one request, in bytes; reading pauses above it
--- a/include/rhubarbarch/upstream/upstreams.h
+++ b/include/rhubarbarch/upstream/upstreams.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "rhubarbarch/upstream/call_limit.h"
+#include "rhubarbarch/upstream/engine_model.h"
 #include "rhubarbarch/upstream/prompt_cache.h"
 #include "rhubarbarch/upstream/upstream_rest.h"
 
@@ -25,6 +26,8 @@
   std::int64_t othersRunning = 0; ///< calls of all other gateways, last reported by the leader
   Tokens othersPrefillTokens = 0; ///< prompt tokens to read for those calls, last reported by the leader
   PromptCache cache;
+  EngineModel model;    ///< engines: learned time to the first event, relative to the service
+  TimePoint answeredAt; ///< engines: last data of a stream to this gateway
   int failures = 0;     ///< consecutive connection failures and timeouts
   TimePoint avoidUntil; ///< no calls before this time, unless there is no other upstream
   double errorRate = 0; ///< smoothed fraction of calls that failed
@@ -38,6 +41,7 @@
 struct Upstreams
 {
   std::map<std::string, Upstream> byId;
+  std::map<std::string, ServiceModel> models; ///< of engines, by service
   std::uint64_t revision = 0; ///< of the leader's list; zero: this gateway read the list from the platform
   TimePoint listedAt;         ///< when the list was read from the platform
   bool received = false;
--- a/src/gateway/attempts.cpp
+++ b/src/gateway/attempts.cpp
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <string_view>
 
 namespace rhubarbarch::gateway {
@@ -17,6 +18,10 @@
 constexpr std::int64_t kSoundEvents = 2;
 /// With a higher error rate, an upstream that closes a kept connection has probably failed the call.
 constexpr double kSoundErrorRate = 0.15;
+/// Time between two considerations whether a silent call goes elsewhere; each costs a placement.
+constexpr Duration kReviewPeriod{ 50 };
+/// Another upstream is clearly sooner if its estimate is below this part of the time that the silent one still needs.
+constexpr double kClearlySooner = 0.8;
 
 /// @return whether another upstream may run the request although an earlier one may have run it
 bool
@@ -132,6 +137,39 @@
   recordTime(*upstream, aState.now - attempt.startedAt, attempt.expected, aRequest.service->isEngine, aState.now);
 }
 
+/// Learns from the first event of an engine. A resumed stream, a cold or full engine and a late event loop say nothing
+/// on the engine's speed.
+void
+learnFirstEvent(State& aState, const Request& aRequest)
+{
+  const auto& attempt = *aRequest.attempt;
+  auto* upstream = findUpstream(aState, attempt.upstreamId);
+  if (upstream == nullptr || attempt.firstBytes || !attempt.measurable || attempt.eventsBefore > 0 ||
+      aState.loop.delay >= aState.options.minLoggedDelay) {
+    return;
+  }
+  const auto taken = aState.now - attempt.startedAt;
+  auto& model = aState.upstreams.models[aRequest.service->name];
+  if (!upstream::learnFirstEvent(model, upstream->model, attempt.load, taken, aState.now)) {
+    ++aState.totals.ignoredMeasurements;
+    log(aState,
+        Severity::kWarning,
+        "measurement_ignored",
+        { { "request", aRequest.call.requestId },
+          { "upstream", attempt.upstreamId },
+          { "taken_ms", taken.count() },
+          { "queued_tokens", attempt.load.queuedTokens },
+          { "uncached_tokens", attempt.load.uncachedTokens },
+          { "running", attempt.load.running } });
+    return;
+  }
+  auto& totals = aState.totals;
+  ++totals.firstEvents;
+  totals.firstEventMs += static_cast<double>(taken.count());
+  totals.expectedMs += attempt.estimate.expectedMs;
+  totals.estimateErrorMs += std::abs(static_cast<double>(taken.count()) - attempt.estimate.expectedMs);
+}
+
 /// Records that the current answer has got past its first event, or is complete.
 void
 recordSoundAnswer(State& aState, Request& aRequest)
@@ -224,7 +262,11 @@
 void
 forwardEvents(State& aState, Request& aRequest, std::string aEvents)
 {
+  learnFirstEvent(aState, aRequest);
   recordFirstBytes(aState, aRequest);
+  if (auto* upstream = findUpstream(aState, aRequest.attempt->upstreamId)) {
+    upstream->answeredAt = aState.now;
+  }
   sendStreamHead(aState, aRequest);
   aRequest.undelivered += aEvents.size();
   aState.actions.emplace_back(ReplyBody{ aRequest.call.caller, std::move(aEvents) });
@@ -277,6 +319,84 @@
   return aHead.status >= kFirstServerError && repeatable(aRequest);
 }
 
+PlacementRequest
+placementRequest(const State& aState, const Request& aRequest)
+{
+  PlacementRequest wanted;
+  wanted.service = aRequest.service;
+  wanted.prompt = aRequest.call.prompt.empty() ? nullptr : &aRequest.call.prompt;
+  wanted.promptTokens = aRequest.call.promptTokens;
+  wanted.avoid = &aRequest.tried;
+  wanted.target = Duration(aRequest.route->targetLatencyMs);
+  wanted.dataCentre = aState.options.dataCentre;
+  return wanted;
+}
+
+/// @return whether another engine will probably answer in time and clearly sooner than the silent one. One that
+/// answers other calls is probably reading the prompt; then the other one must not have to read more.
+bool
+worthMoving(const State& aState, const Request& aRequest, const Placement& aOther)
+{
+  if (aOther.upstream == nullptr) {
+    return false;
+  }
+  const auto& attempt = *aRequest.attempt;
+  const auto waited = static_cast<double>((aState.now - attempt.startedAt).count());
+  // The longer a call is overdue, the longer it probably still takes.
+  const auto rest = std::max(attempt.estimate.deviationMs, waited - attempt.estimate.expectedMs);
+  const auto left = static_cast<double>((aRequest.expiresAt - aState.now).count());
+  const auto current = aState.upstreams.byId.find(attempt.upstreamId);
+  const bool reads = current != aState.upstreams.byId.end() && current->second.answeredAt > attempt.startedAt;
+  const auto& other = aOther.estimate;
+  return other.expectedMs + other.deviationMs < left && other.expectedMs < kClearlySooner * rest &&
+         !(reads && aOther.uncachedTokens > attempt.uncachedTokens);
+}
+
+void
+logSilence(State& aState, const Request& aRequest, const Placement& aOther, bool aMoves)
+{
+  const auto& attempt = *aRequest.attempt;
+  log(aState,
+      Severity::kInfo,
+      aMoves ? "silent_call_moved" : "silent_call_kept",
+      { { "request", aRequest.call.requestId },
+        { "upstream", attempt.upstreamId },
+        { "waited_ms", (aState.now - attempt.startedAt).count() },
+        { "estimate_ms", std::llround(attempt.estimate.expectedMs) },
+        { "deviation_ms", std::llround(attempt.estimate.deviationMs) },
+        { "other", aOther.upstream == nullptr ? "" : aOther.upstream->entry.id },
+        { "other_ms", std::llround(aOther.estimate.expectedMs) },
+        { "uncached_tokens", attempt.uncachedTokens },
+        { "other_uncached_tokens", aOther.uncachedTokens } });
+}
+
+/// Decides whether a silent call to an engine goes elsewhere. Learns from the silence when it does.
+bool
+leaveSilentEngine(State& aState, Request& aRequest)
+{
+  auto& attempt = *aRequest.attempt;
+  attempt.reviewAt = aState.now + kReviewPeriod;
+  auto wanted = placementRequest(aState, aRequest);
+  wanted.addsDemand = false;
+  const auto other = place(aState.upstreams, wanted, aState.now);
+  const bool moves = worthMoving(aState, aRequest, other) && mayRetry(aState, aRequest, true);
+  if (!moves) {
+    if (!std::exchange(attempt.keptLogged, true)) {
+      ++aState.totals.silentKept;
+      logSilence(aState, aRequest, other, false);
+    }
+    return false;
+  }
+  ++aState.totals.silentMoved;
+  logSilence(aState, aRequest, other, true);
+  if (auto* upstream = findUpstream(aState, attempt.upstreamId); upstream != nullptr && attempt.measurable) {
+    const auto waited = aState.now - attempt.startedAt;
+    upstream::learnSilence(
+      aState.upstreams.models[aRequest.service->name], upstream->model, attempt.load, waited, aState.now);
+  }
+  return true;
+}
+
 } // namespace
 
 void
@@ -287,13 +407,7 @@
     failRequest(aState, aRequest.call.caller, *refusal);
     return;
   }
-  PlacementRequest wanted;
-  wanted.service = aRequest.service;
-  wanted.prompt = aRequest.call.prompt.empty() ? nullptr : &aRequest.call.prompt;
-  wanted.promptTokens = aRequest.call.promptTokens;
-  wanted.avoid = &aRequest.tried;
-  wanted.target = Duration(aRequest.route->targetLatencyMs);
-  wanted.dataCentre = aState.options.dataCentre;
+  auto wanted = placementRequest(aState, aRequest);
   wanted.addsDemand = !aRequest.waitsUntil;
   const auto placed = place(aState.upstreams, wanted, aState.now);
   if (placed.upstream == nullptr && placed.limited) {
@@ -313,6 +427,9 @@
   attempt.startedAt = aState.now;
   attempt.expected = placed.expected;
   attempt.uncachedTokens = placed.uncachedTokens;
+  attempt.load = placed.load;
+  attempt.estimate = placed.estimate;
+  attempt.measurable = placed.measurable;
   attempt.eventsBefore = aRequest.stream.events();
   attempt.trial = beginTrial(upstream.rest);
   ++upstream.running;
@@ -493,8 +610,11 @@
 onResponseTimeout(State& aState, Request& aRequest)
 {
   if (!repeatable(aRequest) || aRequest.mayHaveRun >= aRequest.route->maxAttempts ||
-      !hasCandidate(aState.upstreams, *aRequest.service, aRequest.tried, aState.now) ||
-      !mayRetry(aState, aRequest, true)) {
+      !hasCandidate(aState.upstreams, *aRequest.service, aRequest.tried, aState.now)) {
+    return;
+  }
+  const bool learned = aRequest.attempt->estimate.expectedMs > 0;
+  if (!(learned ? leaveSilentEngine(aState, aRequest) : mayRetry(aState, aRequest, true))) {
     return;
   }
   logAttemptFailed(aState, aRequest, "silent", true);
--- a/src/gateway/finish.cpp
+++ b/src/gateway/finish.cpp
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace rhubarbarch::gateway {
@@ -127,13 +128,20 @@
   head.fields = answer.fields;
   head.chunked = true;
   aState.actions.emplace_back(std::move(head));
+  const auto& attempt = *aRequest.attempt;
   log(aState,
       Severity::kInfo,
       "first_event",
       { { "request", aRequest.call.requestId },
-        { "upstream", aRequest.attempt->upstreamId },
+        { "upstream", attempt.upstreamId },
         { "after_ms", (aState.now - aRequest.arrivedAt).count() },
-        { "expected_ms", aRequest.attempt->expected.count() } });
+        { "taken_ms", (aState.now - attempt.startedAt).count() },
+        { "expected_ms", attempt.expected.count() },
+        { "estimate_ms", std::llround(attempt.estimate.expectedMs) },
+        { "deviation_ms", std::llround(attempt.estimate.deviationMs) },
+        { "queued_tokens", std::llround(attempt.load.queuedTokens) },
+        { "uncached_tokens", std::llround(attempt.load.uncachedTokens) },
+        { "running", std::llround(attempt.load.running) } });
 }
 
 void
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -69,6 +69,9 @@
   std::uint64_t weight = 0; ///< rendezvous hash
   double cost = 0;
   double expected = 0;
+  upstream::EngineLoad load;
+  upstream::TimeEstimate estimate;
+  bool measurable = false;
   Tokens uncachedTokens = 0;
   bool avoided = false;
   bool permitted = true; ///< no rate limit forbids a call now
@@ -94,13 +97,19 @@
 }
 
 void
-costOfEngine(Candidate& aCandidate, const PlacementRequest& aRequest, std::size_t aRank)
+costOfEngine(Candidate& aCandidate,
+             const PlacementRequest& aRequest,
+             const upstream::ServiceModel& aModel,
+             std::size_t aRank,
+             TimePoint aNow)
 {
   const auto& upstream = *aCandidate.upstream;
   const auto& prompt = *aRequest.prompt;
   auto cached = upstream.cache.cachedTokens(prompt);
-  if (aRank == 0 && prompt.size() > 1) {
-    // All gateways prefer this upstream for the prompt, so it has most likely cached the shared parts.
+  const bool retried = aRequest.avoid != nullptr && !aRequest.avoid->empty();
+  if (aRank == 0 && !retried && prompt.size() > 1) {
+    // All gateways prefer this upstream for the prompt, so it has most likely cached the shared parts. Of a retried
+    // request, the preferred upstream was probably the one tried before.
     Tokens shared = 0;
     std::for_each(prompt.begin(), prompt.end() - 1, [&](const PromptPart& aPart) { shared += aPart.tokens; });
     cached = std::max(cached, shared);
@@ -109,9 +118,15 @@
   const auto queued = static_cast<double>(upstream.prefillTokens + upstream.othersPrefillTokens);
   const auto running = totalRunning(upstream);
   const auto reading = static_cast<double>(aCandidate.uncachedTokens) / kPrefillTokensPerMs;
+  aCandidate.load = { queued, static_cast<double>(aCandidate.uncachedTokens), static_cast<double>(running) };
+  aCandidate.estimate = estimateFirstEvent(aModel, upstream.model, aCandidate.load, aNow);
+  aCandidate.estimate.expectedMs += static_cast<double>(upstream.entry.coldMs);
+  aCandidate.measurable = upstream.entry.coldMs == 0;
   auto expected = kBaseMs + queued / kPrefillTokensPerMs + reading + static_cast<double>(running) * kRunningMs;
   if (running >= slots(upstream, *aRequest.service)) {
     expected += kSlotsFullMs;
+    aCandidate.estimate.expectedMs += kSlotsFullMs;
+    aCandidate.measurable = false;
   }
   expected = (expected + static_cast<double>(upstream.entry.coldMs)) * std::max(1.0, upstream.slowness);
   aCandidate.expected = expected;
@@ -190,10 +205,11 @@
   }
   const auto bestRate =
     std::ranges::min(found, {}, [](const Candidate& aEach) { return aEach.upstream->errorRate; }).upstream->errorRate;
+  const auto& model = aUpstreams.models[aRequest.service->name];
   for (std::size_t rank = 0; rank < found.size(); ++rank) {
     auto& candidate = found[rank];
     if (aRequest.service->isEngine && aRequest.prompt != nullptr) {
-      costOfEngine(candidate, aRequest, rank);
+      costOfEngine(candidate, aRequest, model, rank, aNow);
     } else {
       costOfPlain(candidate, aRequest);
     }
@@ -210,7 +226,14 @@
   }
   const auto best =
     std::ranges::min_element(found, {}, [](const Candidate& aEach) { return std::pair(!aEach.permitted, aEach.cost); });
-  return { best->upstream, Duration(std::llround(best->expected)), best->uncachedTokens };
+  Placement placed;
+  placed.upstream = best->upstream;
+  placed.expected = Duration(std::llround(best->expected));
+  placed.uncachedTokens = best->uncachedTokens;
+  placed.load = best->load;
+  placed.estimate = best->estimate;
+  placed.measurable = best->measurable;
+  return placed;
 }
 
 bool
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -28,10 +28,13 @@
 /// The upstream chosen for a request.
 struct Placement
 {
-  Upstream* upstream = nullptr; ///< null: no upstream can take the request
-  Duration expected{ 0 };       ///< time to the first event; for plain services, to the answer
-  Tokens uncachedTokens = 0;    ///< prompt tokens that this upstream has probably not cached
-  bool limited = false;         ///< upstreams could take the request, but their rate limits permit no call now
+  Upstream* upstream = nullptr;    ///< null: no upstream can take the request
+  Duration expected{ 0 };          ///< time to the first event; for plain services, to the answer
+  Tokens uncachedTokens = 0;       ///< prompt tokens that this upstream has probably not cached
+  upstream::EngineLoad load;       ///< engines: as the request finds it
+  upstream::TimeEstimate estimate; ///< engines: learned time to the first event
+  bool measurable = false;         ///< engines: the time to the first event follows from the load alone
+  bool limited = false;            ///< upstreams could take the request, but their rate limits permit no call now
 };
 
 /// Chooses the upstream with the lowest cost, mostly its expected time. Requests that share a prompt prefer one
--- a/src/gateway/requests.cpp
+++ b/src/gateway/requests.cpp
@@ -122,8 +122,11 @@
     return false;
   }
   const auto target = static_cast<double>(aRequest.route->targetLatencyMs) * aState.options.responseTimeoutFactor;
-  const auto responseTimeout = std::max(Duration(static_cast<std::int64_t>(target)), aState.options.minResponseTimeout);
-  return aState.now - aRequest.attempt->startedAt >= responseTimeout;
+  const auto& attempt = *aRequest.attempt;
+  const auto learned = attempt.estimate.expectedMs + aState.options.responseDeviations * attempt.estimate.deviationMs;
+  const auto responseTimeout =
+    std::max(Duration(static_cast<std::int64_t>(std::max(target, learned))), aState.options.minResponseTimeout);
+  return aState.now - attempt.startedAt >= responseTimeout && aState.now >= attempt.reviewAt;
 }
 
 /// Resolves route, plan and service of the request and checks that this gateway may accept it.
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -35,7 +35,12 @@
   std::string upstreamId;
   TimePoint startedAt;
   Duration expected{ 0 };
-  Tokens uncachedTokens = 0; ///< prompt tokens counted as prefill load of the upstream until the first event
+  Tokens uncachedTokens = 0;       ///< prompt tokens counted as prefill load of the upstream until the first event
+  upstream::EngineLoad load;       ///< engines: at placement
+  upstream::TimeEstimate estimate; ///< engines: learned time to the first event; zero: none
+  bool measurable = false;         ///< engines: the time to the first event may be learned
+  TimePoint reviewAt;              ///< while silent: when to consider another upstream next
+  bool keptLogged = false;         ///< while silent: logged that it stays
   bool firstBytes = false;
   bool trial = false;                 ///< the first call after a rest of the upstream
   bool sound = false;                 ///< the answer got past its first event
@@ -107,6 +112,13 @@
   std::uint64_t callersDisconnected = 0;
   std::uint64_t retries = 0;
   std::uint64_t resumed = 0;
+  std::uint64_t silentMoved = 0;                  ///< silent calls to engines that were tried elsewhere
+  std::uint64_t silentKept = 0;                   ///< silent calls to engines that stayed, counted once
+  std::uint64_t firstEvents = 0;                  ///< measured times to a first event of an engine
+  double firstEventMs = 0;                        ///< their sum
+  double expectedMs = 0;                          ///< sum of the estimates for them
+  double estimateErrorMs = 0;                     ///< sum of the absolute errors of the estimates
+  std::uint64_t ignoredMeasurements = 0;          ///< absurd ones
   std::uint64_t quarantined = 0;                  ///< requests refused because of a quarantined subject
   std::map<std::int32_t, std::uint64_t> refusals; ///< by HTTP status
 };
--- a/tests/gateway/streams_test.cpp
+++ b/tests/gateway/streams_test.cpp
@@ -191,3 +191,46 @@
   fleet.handle(CallerDrained{ caller, 250000 });
   CHECK_FALSE(fleet.takeOne<PauseCall>().paused);
 }
+
+// Guards against waiting for an engine that answers nobody until the deadline.
+TEST(GatewayStreams, leavesASilentEngine)
+{
+  fleet.call("/summary/1", 100, 50);
+  const auto first = fleet.takeOne<StartCall>();
+  fleet.tick(Duration{ 590 });
+  CHECK(fleet.take<StartCall>().empty());
+  fleet.tick(Duration{ 20 });
+  CHECK(fleet.takeOne<CancelCall>().exchange == first.exchange);
+  CHECK(first.upstreamId != fleet.takeOne<StartCall>().upstreamId);
+}
+
+// Load pattern: long prompts with a shared part. Guards against giving up a prompt that a working engine reads for an
+// engine that has to read the shared part as well, which doubles the work.
+TEST(GatewayStreams, keepsAPromptWithTheEngineThatReadsIt)
+{
+  fleet.call("/summary/1", 2000, 50);
+  const auto first = fleet.takeOne<StartCall>();
+  fleet.head(first.exchange, 200, true);
+  fleet.handle(UpstreamData{ first.exchange, Fixture::event(1) });
+  fleet.call("/summary/2", 2000, 50);
+  const auto second = fleet.takeOne<StartCall>();
+  STRCMP_EQUAL(first.upstreamId.c_str(), second.upstreamId.c_str());
+  for (int i = 2; i < 17; ++i) {
+    fleet.tick(Duration{ 100 });
+    fleet.handle(UpstreamData{ first.exchange, Fixture::event(i) });
+  }
+  CHECK(fleet.take<CancelCall>().empty());
+  CHECK(fleet.take<StartCall>().empty());
+  const auto lines = fleet.take<Log>();
+  CHECK_EQUAL(1, std::ranges::count(lines, "silent_call_kept", [](const Log& aLog) { return aLog.line.event; }));
+}
+
+// Guards against a second attempt that can't answer before the caller's deadline.
+TEST(GatewayStreams, keepsASilentCallWithoutTimeForAnother)
+{
+  fleet.call("/summary/1", 4500, 50, Duration{ 700 });
+  fleet.takeOne<StartCall>();
+  fleet.tick(Duration{ 680 });
+  CHECK(fleet.take<CancelCall>().empty());
+  CHECK(fleet.take<StartCall>().empty());
+}
