Rate engines by the learned model in placement

Times of engines now come from their model. The test of a slow engine records its times through the model, beside normal ones of the other engines, with the same number of measurements and ratio.

--- a/include/rhubarbarch/upstream/upstreams.h
+++ b/include/rhubarbarch/upstream/upstreams.h
@@ -31,7 +31,6 @@
   int failures = 0;     ///< consecutive connection failures and timeouts
   TimePoint avoidUntil; ///< no calls before this time, unless there is no other upstream
   double errorRate = 0; ///< smoothed fraction of calls that failed
-  double slowness = 1;  ///< engines: smoothed ratio of measured to expected times
   double latencyMs = 0; ///< plain services: smoothed time of a call; zero: not measured yet
   TimePoint decayedAt;
   CallLimit limit;
@@ -72,12 +71,12 @@
 void
 recordAnswer(Upstream& aUpstream, bool aFailed, TimePoint aNow);
 
-/// Records the time to a first event or to a complete plain answer.
-/// @param aExpected the estimate made at placement
+/// Records that an upstream began to answer, and for plain services the time of the answer. The times of engines are
+/// learned by their model.
 void
-recordTime(Upstream& aUpstream, Duration aTaken, Duration aExpected, bool aEngine, TimePoint aNow);
+recordTime(Upstream& aUpstream, Duration aTaken, bool aEngine, TimePoint aNow);
 
-/// Lets recorded errors and slowness decay, because old measurements say little about the present. Without this, an
+/// Lets recorded errors and times decay, because old measurements say little about the present. Without this, an
 /// upstream that gets no calls would never be tried again.
 void
 decay(Upstream& aUpstream, TimePoint aNow);
--- a/src/gateway/attempts.cpp
+++ b/src/gateway/attempts.cpp
@@ -134,7 +134,7 @@
     return;
   }
   upstream->prefillTokens -= std::exchange(attempt.uncachedTokens, 0);
-  recordTime(*upstream, aState.now - attempt.startedAt, attempt.expected, aRequest.service->isEngine, aState.now);
+  recordTime(*upstream, aState.now - attempt.startedAt, aRequest.service->isEngine, aState.now);
 }
 
 /// Learns from the first event of an engine. A resumed stream, a cold or full engine and a late event loop say nothing
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -11,12 +11,6 @@
 
 namespace {
 
-/// Prompt tokens that an engine reads in a millisecond; the deployments specify 38 to 50.
-constexpr double kPrefillTokensPerMs = 40;
-/// Time to the first event with no prompt to read: a few engine steps and two network round trips.
-constexpr double kBaseMs = 25;
-/// Added for each running request: it slows the engine's steps, and so the reading of prompts between them.
-constexpr double kRunningMs = 0.5;
 /// Added when all slots are in use: a request then waits for another one to end.
 constexpr double kSlotsFullMs = 400;
 /// Cost of a cache miss beyond its prefill time, as a factor of that time: the tokens evict parts of other prompts.
@@ -117,18 +111,14 @@
   aCandidate.uncachedTokens = std::max<Tokens>(aRequest.promptTokens - cached, 0);
   const auto queued = static_cast<double>(upstream.prefillTokens + upstream.othersPrefillTokens);
   const auto running = totalRunning(upstream);
-  const auto reading = static_cast<double>(aCandidate.uncachedTokens) / kPrefillTokensPerMs;
   aCandidate.load = { queued, static_cast<double>(aCandidate.uncachedTokens), static_cast<double>(running) };
   aCandidate.estimate = estimateFirstEvent(aModel, upstream.model, aCandidate.load, aNow);
   aCandidate.estimate.expectedMs += static_cast<double>(upstream.entry.coldMs);
-  aCandidate.measurable = upstream.entry.coldMs == 0;
-  auto expected = kBaseMs + queued / kPrefillTokensPerMs + reading + static_cast<double>(running) * kRunningMs;
-  if (running >= slots(upstream, *aRequest.service)) {
-    expected += kSlotsFullMs;
-    aCandidate.estimate.expectedMs += kSlotsFullMs;
-    aCandidate.measurable = false;
-  }
-  expected = (expected + static_cast<double>(upstream.entry.coldMs)) * std::max(1.0, upstream.slowness);
+  const bool full = running >= slots(upstream, *aRequest.service);
+  aCandidate.estimate.expectedMs += full ? kSlotsFullMs : 0;
+  aCandidate.measurable = upstream.entry.coldMs == 0 && !full;
+  const auto expected = aCandidate.estimate.expectedMs;
+  const auto reading = readingMs(aModel, upstream.model, aCandidate.load.uncachedTokens, aNow);
   aCandidate.expected = expected;
   const auto early = static_cast<double>(aRequest.target.count()) * kEarlyFraction;
   aCandidate.cost = std::max(expected, early) + reading * kMissWeight + static_cast<double>(aRank) * kRankMs;
--- a/src/upstream/upstreams.cpp
+++ b/src/upstream/upstreams.cpp
@@ -15,11 +15,9 @@
 constexpr Duration kLongestAvoidance{ 4000 };
 /// Weight of one answer in the smoothed error rate: a server that fails 40% of its calls is detected after about ten.
 constexpr double kErrorWeight = 0.1;
-/// Weight of one measurement in the smoothed times and ratios.
+/// Weight of one measurement in the smoothed times of plain services.
 constexpr double kTimeWeight = 0.2;
-/// Limit on the ratio of one measurement, since a single queue or preemption does not make a server slow.
-constexpr double kLargestRatio = 10;
-/// Half-life of recorded errors and slowness.
+/// Half-life of recorded errors and times.
 constexpr double kHalfLifeMs = 3000;
 
 } // namespace
@@ -109,18 +107,16 @@
 }
 
 void
-recordTime(Upstream& aUpstream, Duration aTaken, Duration aExpected, bool aEngine, TimePoint aNow)
+recordTime(Upstream& aUpstream, Duration aTaken, bool aEngine, TimePoint aNow)
 {
   decay(aUpstream, aNow);
   aUpstream.failures = 0;
-  const auto taken = static_cast<double>(aTaken.count());
-  if (!aEngine) {
-    aUpstream.latencyMs =
-      aUpstream.latencyMs == 0 ? taken : aUpstream.latencyMs + kTimeWeight * (taken - aUpstream.latencyMs);
+  if (aEngine) {
     return;
   }
-  const auto ratio = taken / std::max(1.0, static_cast<double>(aExpected.count()));
-  aUpstream.slowness += kTimeWeight * (std::min(ratio, kLargestRatio) - aUpstream.slowness);
+  const auto taken = static_cast<double>(aTaken.count());
+  aUpstream.latencyMs =
+    aUpstream.latencyMs == 0 ? taken : aUpstream.latencyMs + kTimeWeight * (taken - aUpstream.latencyMs);
 }
 
 void
@@ -130,7 +126,6 @@
   const auto retained = std::exp2(-passed / kHalfLifeMs);
   aUpstream.decayedAt = aNow;
   aUpstream.errorRate *= retained;
-  aUpstream.slowness = 1 + (aUpstream.slowness - 1) * retained;
   aUpstream.latencyMs *= retained;
 }
 
--- a/tests/gateway/placement_test.cpp
+++ b/tests/gateway/placement_test.cpp
@@ -122,14 +122,19 @@
   CHECK(choose(prompt(1, 1)).upstream == chosen);
 }
 
-// Guards against sending sessions to a slow upstream that has a queue.
+// Load pattern: sessions at engines of which one reads at a sixteenth of the speed that is expected. Guards against
+// sending sessions to a slow upstream that has a queue.
 TEST(Placement, avoidsASlowUpstream)
 {
   const auto chosen = choose(prompt(1, 1)).upstream;
   chosen->prefillTokens = 2000;
   CHECK(choose(prompt(1, 1)).upstream == chosen);
+  auto& model = upstreams.models["engine"];
   for (int i = 0; i < 20; ++i) {
-    recordTime(*chosen, Duration{ 800 }, Duration{ 50 }, true, now);
+    for (auto& [id, upstream] : upstreams.byId) {
+      const auto taken = Duration{ &upstream == chosen ? 800 : 50 };
+      CHECK(upstream::learnFirstEvent(model, upstream.model, { 0, 1000, 1 }, taken, now));
+    }
   }
   CHECK(choose(prompt(1, 1)).upstream != chosen);
 }
