--- a/include/rhubarbarch/upstream/upstreams.h
+++ b/include/rhubarbarch/upstream/upstreams.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "rhubarbarch/upstream/call_limit.h"
+#include "rhubarbarch/upstream/engine_model.h"
 #include "rhubarbarch/upstream/prompt_cache.h"
 #include "rhubarbarch/upstream/upstream_rest.h"
 
@@ -25,10 +26,11 @@
   std::int64_t othersRunning = 0; ///< calls of all other gateways, last reported by the leader
   Tokens othersPrefillTokens = 0; ///< prompt tokens to read for those calls, last reported by the leader
   PromptCache cache;
+  EngineModel model;    ///< engines: learned time to the first event, relative to the service
+  TimePoint answeredAt; ///< engines: last data of a stream to this gateway
   int failures = 0;     ///< consecutive connection failures and timeouts
   TimePoint avoidUntil; ///< no calls before this time, unless there is no other upstream
   double errorRate = 0; ///< smoothed fraction of calls that failed
-  double slowness = 1;  ///< engines: smoothed ratio of measured to expected times
   double latencyMs = 0; ///< plain services: smoothed time of a call; zero: not measured yet
   TimePoint decayedAt;
   CallLimit limit;
@@ -38,6 +40,7 @@
 struct Upstreams
 {
   std::map<std::string, Upstream> byId;
+  std::map<std::string, ServiceModel> models; ///< of engines, by service
   std::uint64_t revision = 0; ///< of the leader's list; zero: this gateway read the list from the platform
   TimePoint listedAt;         ///< when the list was read from the platform
   bool received = false;
@@ -68,12 +71,12 @@
 void
 recordAnswer(Upstream& aUpstream, bool aFailed, TimePoint aNow);
 
-/// Records the time to a first event or to a complete plain answer.
-/// @param aExpected the estimate made at placement
+/// Records that an upstream began to answer, and for plain services the time of the answer. The times of engines are
+/// learned by their model.
 void
-recordTime(Upstream& aUpstream, Duration aTaken, Duration aExpected, bool aEngine, TimePoint aNow);
+recordTime(Upstream& aUpstream, Duration aTaken, bool aEngine, TimePoint aNow);
 
-/// Lets recorded errors and slowness decay, because old measurements say little about the present. Without this, an
+/// Lets recorded errors and times decay, because old measurements say little about the present. Without this, an
 /// upstream that gets no calls would never be tried again.
 void
 decay(Upstream& aUpstream, TimePoint aNow);
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -11,16 +11,15 @@
 
 namespace {
 
-/// Prompt tokens that an engine reads in a millisecond; the deployments specify 38 to 50.
-constexpr double kPrefillTokensPerMs = 40;
-/// Time to the first event with no prompt to read: a few engine steps and two network round trips.
-constexpr double kBaseMs = 25;
-/// Added for each running request: it slows the engine's steps, and so the reading of prompts between them.
-constexpr double kRunningMs = 0.5;
 /// Added when all slots are in use: a request then waits for another one to end.
 constexpr double kSlotsFullMs = 400;
 /// Cost of a cache miss beyond its prefill time, as a factor of that time: the tokens evict parts of other prompts.
 constexpr double kMissWeight = 1.5;
+/// Part of a prompt's reading time that each running request beside it loses: its prompt waits or its tokens slow down.
+/// Engines read prompts in chunks between the tokens of others, so the loss is spread over many steps. Not measured.
+constexpr double kDelayPerRunning = 0.02;
+/// Cost of a millisecond beyond the target, the deviation of the estimate included: a late answer earns little.
+constexpr double kLateWeight = 2;
 /// Fraction of the target latency below which a faster answer has no benefit; the rest covers estimation errors.
 constexpr double kEarlyFraction = 0.5;
 /// Added per rank in a prompt's rendezvous order, so that equal costs follow that order.
@@ -34,6 +33,11 @@
 constexpr double kErrorMargin = 0.15;
 constexpr double kErrorMs = 3000;
 
+/// A target that is missed already counts as this near.
+constexpr double kLeastLeftMs = 10;
+/// Weight of one request in the typical product of reading time and slack: a memory of some 50 requests.
+constexpr double kTypicalWeight = 0.02;
+
 std::uint64_t
 mix(std::uint64_t aValue)
 {
@@ -69,6 +73,10 @@
   std::uint64_t weight = 0; ///< rendezvous hash
   double cost = 0;
   double expected = 0;
+  upstream::EngineLoad load;
+  upstream::TimeEstimate estimate;
+  bool measurable = false;
+  double readingMs = 0;
   Tokens uncachedTokens = 0;
   bool avoided = false;
   bool permitted = true; ///< no rate limit forbids a call now
@@ -94,13 +102,19 @@
 }
 
 void
-costOfEngine(Candidate& aCandidate, const PlacementRequest& aRequest, std::size_t aRank)
+costOfEngine(Candidate& aCandidate,
+             const PlacementRequest& aRequest,
+             const upstream::ServiceModel& aModel,
+             std::size_t aRank,
+             TimePoint aNow)
 {
   const auto& upstream = *aCandidate.upstream;
   const auto& prompt = *aRequest.prompt;
   auto cached = upstream.cache.cachedTokens(prompt);
-  if (aRank == 0 && prompt.size() > 1) {
-    // All gateways prefer this upstream for the prompt, so it has most likely cached the shared parts.
+  const bool retried = aRequest.avoid != nullptr && !aRequest.avoid->empty();
+  if (aRank == 0 && !retried && prompt.size() > 1) {
+    // All gateways prefer this upstream for the prompt, so it has most likely cached the shared parts. Of a retried
+    // request, the preferred upstream was probably the one tried before.
     Tokens shared = 0;
     std::for_each(prompt.begin(), prompt.end() - 1, [&](const PromptPart& aPart) { shared += aPart.tokens; });
     cached = std::max(cached, shared);
@@ -108,15 +122,23 @@
   aCandidate.uncachedTokens = std::max<Tokens>(aRequest.promptTokens - cached, 0);
   const auto queued = static_cast<double>(upstream.prefillTokens + upstream.othersPrefillTokens);
   const auto running = totalRunning(upstream);
-  const auto reading = static_cast<double>(aCandidate.uncachedTokens) / kPrefillTokensPerMs;
-  auto expected = kBaseMs + queued / kPrefillTokensPerMs + reading + static_cast<double>(running) * kRunningMs;
-  if (running >= slots(upstream, *aRequest.service)) {
-    expected += kSlotsFullMs;
-  }
-  expected = (expected + static_cast<double>(upstream.entry.coldMs)) * std::max(1.0, upstream.slowness);
+  aCandidate.load = { queued, static_cast<double>(aCandidate.uncachedTokens), static_cast<double>(running) };
+  aCandidate.estimate = estimateFirstEvent(aModel, upstream.model, aCandidate.load, aNow);
+  aCandidate.estimate.expectedMs += static_cast<double>(upstream.entry.coldMs);
+  const bool full = running >= slots(upstream, *aRequest.service);
+  aCandidate.estimate.expectedMs += full ? kSlotsFullMs : 0;
+  aCandidate.measurable = upstream.entry.coldMs == 0 && !full;
+  const auto expected = aCandidate.estimate.expectedMs;
+  const auto reading = readingMs(aModel, upstream.model, aCandidate.load.uncachedTokens, aNow);
   aCandidate.expected = expected;
   const auto early = static_cast<double>(aRequest.target.count()) * kEarlyFraction;
-  aCandidate.cost = std::max(expected, early) + reading * kMissWeight + static_cast<double>(aRank) * kRankMs;
+  aCandidate.cost = std::max(expected, early) + static_cast<double>(aRank) * kRankMs;
+  // Long prompts delay those that wait or stream beside them, so they go where they delay few.
+  aCandidate.cost += reading * (kMissWeight + kDelayPerRunning * aCandidate.load.running);
+  // Prompts with a near target avoid queues that would make them miss it.
+  const auto late = expected + aCandidate.estimate.deviationMs - static_cast<double>(aRequest.target.count());
+  aCandidate.cost += aRequest.target.count() > 0 ? std::max(late, 0.0) * kLateWeight : 0;
+  aCandidate.readingMs = reading;
 }
 
 void
@@ -190,10 +212,11 @@
   }
   const auto bestRate =
     std::ranges::min(found, {}, [](const Candidate& aEach) { return aEach.upstream->errorRate; }).upstream->errorRate;
+  const auto& model = aUpstreams.models[aRequest.service->name];
   for (std::size_t rank = 0; rank < found.size(); ++rank) {
     auto& candidate = found[rank];
     if (aRequest.service->isEngine && aRequest.prompt != nullptr) {
-      costOfEngine(candidate, aRequest, rank);
+      costOfEngine(candidate, aRequest, model, rank, aNow);
     } else {
       costOfPlain(candidate, aRequest);
     }
@@ -210,7 +233,24 @@
   }
   const auto best =
     std::ranges::min_element(found, {}, [](const Candidate& aEach) { return std::pair(!aEach.permitted, aEach.cost); });
-  return { best->upstream, Duration(std::llround(best->expected)), best->uncachedTokens };
+  Placement placed;
+  placed.upstream = best->upstream;
+  placed.expected = Duration(std::llround(best->expected));
+  placed.uncachedTokens = best->uncachedTokens;
+  placed.load = best->load;
+  placed.readingMs = best->readingMs;
+  placed.estimate = best->estimate;
+  placed.measurable = best->measurable;
+  return placed;
+}
+
+std::int32_t
+refinePriority(std::int32_t aPriority, double aReadingMs, Duration aLeft, double& aTypical)
+{
+  const auto left = std::max(static_cast<double>(aLeft.count()), kLeastLeftMs);
+  const auto product = std::log1p(aReadingMs * left);
+  aTypical = aTypical == 0 ? product : aTypical + kTypicalWeight * (product - aTypical);
+  return 2 * aPriority + (product > aTypical ? 1 : 0);
 }
 
 bool
