Replicate orders of version rollouts

POST /-/rollouts and GET /-/rollouts/SERVICE answered 404. Orders are now entries of the log, acknowledged once a quorum stores them; a repeat of a service's newest order is acknowledged again and changes nothing. A rollout that is not proved ends as rolled_back at its deadline.

The share of the target version, the evidence and the move are not built: all listed versions serve as before, and no rollout succeeds.

--- a/include/rhubarbarch/controller/events.h
+++ b/include/rhubarbarch/controller/events.h
@@ -96,6 +96,20 @@
   bool evacuated = true;
 };
 
+/// Move a service's traffic to upstreams of a version.
+struct OrderRollout
+{
+  std::string service;
+  VersionName target;
+  std::int64_t durationS = 0;
+};
+
+/// Read the state of a service's newest rollout.
+struct ShowRollout
+{
+  std::string service;
+};
+
 using Operation = std::variant<ApplyPlans,
                                ApplyUses,
                                ShowLists,
@@ -106,7 +120,9 @@
                                ExplainRequest,
                                PutRouting,
                                ShowRouting,
-                               Evacuate>;
+                               Evacuate,
+                               OrderRollout,
+                               ShowRollout>;
 
 /// A parsed operator request.
 struct OperatorRequest
--- a/include/rhubarbarch/state/replicated_state.h
+++ b/include/rhubarbarch/state/replicated_state.h
@@ -8,6 +8,7 @@
 #include "rhubarbarch/state/lists.h"
 #include "rhubarbarch/state/moves.h"
 #include "rhubarbarch/state/quarantine.h"
+#include "rhubarbarch/state/rollouts.h"
 #include "rhubarbarch/state/routing.h"
 #include "rhubarbarch/state/sessions.h"
 
@@ -30,6 +31,7 @@
   Allowances allowances;
   Evacuations evacuations;
   Quarantine quarantine;
+  Rollouts rollouts;
 };
 
 /// Commands of the replicated log. Times are part of a command; applying one reads no clock.
@@ -57,7 +59,10 @@
                              ReportAllowances,
                              ReportBatch,
                              SetEvacuation,
-                             SetQuarantine>;
+                             SetQuarantine,
+                             OrderRollout,
+                             StepRollout,
+                             AllotExposure>;
 
 /// Result of a command, for the answer to its sender.
 using Outcome = std::variant<std::monostate,
@@ -70,7 +75,8 @@
                              RoutingOutcome,
                              GatewayOutcome,
                              EvacuationOutcome,
-                             QuarantineOutcome>;
+                             QuarantineOutcome,
+                             RolloutOutcome>;
 
 /// Applies a committed command. The result depends only on the arguments.
 /// @param aState state after all entries before `aIndex`
--- a/src/controller/gateways.cpp
+++ b/src/controller/gateways.cpp
@@ -1,6 +1,7 @@
 #include "controllers.h"
 #include "gateway_documents.h"
 #include "quarantine.h"
+#include "rollouts.h"
 
 #include <algorithm>
 #include <iterator>
@@ -525,6 +526,7 @@
   proposeReports(aContext);
   expireLimits(memory.limits, aContext.options.gateways, aContext.now);
   tickQuarantine(aContext);
+  tickRollouts(aContext);
   for (auto& [session, gateway] : memory.gateways) {
     if (!hasContactWithin(aContext, session, aContext.options.gateways.gatewayTimeout) &&
         memory.sums.upstreamsBySession.contains(session)) {
--- a/src/controller/memory.h
+++ b/src/controller/memory.h
@@ -195,6 +195,7 @@
   CrashSuspects crashSuspects;
   TimePoint quarantineCheckedAt;
   bool quarantineProposed = false; ///< a change of the quarantine is proposed but not yet applied
+  TimePoint rolloutsCheckedAt;
   ReportQueue reports;
   std::map<PlanId, std::map<SessionId, TimePoint>> waitingFor; ///< sessions with waiting requests, time of last report
   std::map<PlanId, TimePoint> recalledAt; ///< when the holders of a plan's tokens were last searched
--- a/src/controller/operators.cpp
+++ b/src/controller/operators.cpp
@@ -9,6 +9,9 @@
 
 namespace {
 
+/// Longest rollout that is accepted, ten years; the deadline must be a valid time.
+constexpr std::int64_t kLongestRolloutS = 315'360'000;
+
 struct HttpError
 {
   std::int32_t status;
@@ -204,6 +207,105 @@
   aContext.actions.emplace_back(std::move(shown));
 }
 
+/// @return the field of an order that makes it unacceptable and why; nothing if none does
+std::optional<std::string>
+orderFault(const Context& aContext, const OrderRollout& aOrder)
+{
+  const auto& services = aContext.state.routing.table.services;
+  if (aOrder.service.empty() || std::ranges::find(services, aOrder.service, &Service::name) == services.end()) {
+    return "service: no service '" + aOrder.service + "' is configured";
+  }
+  if (aOrder.target.empty()) {
+    return "target: no version is named";
+  }
+  if (aOrder.durationS <= 0 || aOrder.durationS > kLongestRolloutS) {
+    return "duration: must be above 0 and at most " + std::to_string(kLongestRolloutS) + " s";
+  }
+  const auto ofService = [&](const UpstreamEntry& aEach) { return aEach.service == aOrder.service && !aEach.leaving; };
+  const auto& upstreams = aContext.platform.upstreams;
+  const bool serves = std::ranges::any_of(upstreams, ofService);
+  const bool others = std::ranges::any_of(
+    upstreams, [&](const auto& aEach) { return ofService(aEach) && aEach.version != aOrder.target; });
+  if (serves && !others) {
+    return "target: all upstreams of the service have version '" + aOrder.target + "'";
+  }
+  return std::nullopt;
+}
+
+const char*
+describe(state::RolloutOutcome aOutcome)
+{
+  switch (aOutcome) {
+    case state::RolloutOutcome::kAccepted:
+      return "accepted";
+    case state::RolloutOutcome::kRepeated:
+      return "repeated";
+    case state::RolloutOutcome::kRunning:
+      return "another_runs";
+    case state::RolloutOutcome::kSameVersion:
+      return "same_version";
+    default:
+      return "unchanged";
+  }
+}
+
+void
+answerRollout(Context& aContext, OperatorId aId, const OrderRollout& aOrder, state::RolloutOutcome aOutcome)
+{
+  const auto* newest = state::findRollout(aContext.state.rollouts, aOrder.service);
+  log(aContext,
+      "rollout_ordered",
+      { { "service", aOrder.service },
+        { "target", aOrder.target },
+        { "duration_s", aOrder.durationS },
+        { "outcome", describe(aOutcome) },
+        { "order", newest == nullptr ? 0 : toNumber(newest->rule.orderedAt) } });
+  if (aOutcome == state::RolloutOutcome::kRunning) {
+    const bool sameTarget = newest != nullptr && newest->rule.target == aOrder.target;
+    const auto* field = sameTarget ? "duration" : "target";
+    replyError(aContext, aId, 422, "rollout_running", std::string(field) + ": a rollout with another one is running");
+    return;
+  }
+  if (aOutcome == state::RolloutOutcome::kSameVersion) {
+    replyError(aContext, aId, 422, "same_version", "target: the service was moved to this version before");
+    return;
+  }
+  if (aOutcome == state::RolloutOutcome::kAccepted) {
+    announceToGateways(aContext);
+  }
+  reply(aContext, aId, 200, rolloutView(*newest));
+}
+
+void
+run(Context& aContext, OperatorId aId, const OrderRollout& aOperation)
+{
+  const state::OrderRollout order{ aOperation.service, aOperation.target, aOperation.durationS, aContext.unixMs };
+  // The list of upstreams may have changed since the first copy was accepted.
+  if (!state::isRepeat(aContext.state.rollouts, order)) {
+    if (const auto fault = orderFault(aContext, aOperation)) {
+      replyError(aContext, aId, 400, "invalid", *fault);
+      return;
+    }
+  }
+  aContext.proposer.propose(
+    order,
+    [aId, operation = aOperation](Context& aDone, const state::Outcome& aOutcome) {
+      answerRollout(aDone, aId, operation, std::get<state::RolloutOutcome>(aOutcome));
+    },
+    aId);
+}
+
+void
+run(Context& aContext, OperatorId aId, const ShowRollout& aOperation)
+{
+  const auto* newest = state::findRollout(aContext.state.rollouts, aOperation.service);
+  if (newest == nullptr) {
+    replyError(aContext, aId, 404, "not_found", "no rollout of service '" + aOperation.service + "' was ordered");
+    return;
+  }
+  reply(aContext, aId, 200, rolloutView(*newest));
+}
+
 std::int64_t
 unixMs(WallTime aTime)
 {
@@ -343,7 +445,7 @@
   const auto& operation = aRequest.operation;
   const bool shows = std::holds_alternative<ShowLists>(operation) || std::holds_alternative<ShowInstances>(operation) ||
                      std::holds_alternative<ShowMoves>(operation) || std::holds_alternative<ShowPlan>(operation) ||
-                     std::holds_alternative<ShowRouting>(operation);
+                     std::holds_alternative<ShowRouting>(operation) || std::holds_alternative<ShowRollout>(operation);
   if (shows) {
     aContext.memory.nextRead.shows.push_back(aRequest);
   } else {
--- a/src/controller/views.cpp
+++ b/src/controller/views.cpp
@@ -251,4 +251,12 @@
   return view;
 }
 
+nlohmann::json
+rolloutView(const state::Rollout& aRollout)
+{
+  const auto phase = aRollout.rule.phase;
+  const auto* ended = phase == RolloutPhase::kSucceeded ? "succeeded" : "rolled_back";
+  return { { "state", isOpen(phase) ? "running" : ended }, { "target", aRollout.rule.target } };
+}
+
 } // namespace rhubarbarch::controller
--- a/src/controller/views.h
+++ b/src/controller/views.h
@@ -27,4 +27,8 @@
 nlohmann::json
 requestView(const state::ReplicatedState& aState, const RequestId& aRequest);
 
+/// @return `{"state", "target"}` of a rollout; the state is `running`, `succeeded` or `rolled_back`
+nlohmann::json
+rolloutView(const state::Rollout& aRollout);
+
 } // namespace rhubarbarch::controller
--- a/src/state/replicated_state.cpp
+++ b/src/state/replicated_state.cpp
@@ -14,10 +14,10 @@
 
 // In the order of the alternatives of Command. Stored logs contain these names.
 constexpr std::array<std::string_view, kCommandCount> kCommandNames = {
-  "SetPlans",         "SetUses",      "OpenSession",   "FenceRouter",  "ReportFence", "SetLeaving",   "MarkDrained",
-  "RemoveAgent",      "MarkSettled",  "IssueGrant",    "ReturnGrant",  "ChargeGrant", "SettleGrant",  "TakeClaim",
-  "UpdateClaim",      "ExpireClaims", "AddMove",       "StepMove",     "RaiseFence",  "StoreRouting", "OpenGateway",
-  "ReportAllowances", "ReportBatch",  "SetEvacuation", "SetQuarantine"
+  "SetPlans",         "SetUses",      "OpenSession",   "FenceRouter",   "ReportFence",  "SetLeaving",   "MarkDrained",
+  "RemoveAgent",      "MarkSettled",  "IssueGrant",    "ReturnGrant",   "ChargeGrant",  "SettleGrant",  "TakeClaim",
+  "UpdateClaim",      "ExpireClaims", "AddMove",       "StepMove",      "RaiseFence",   "StoreRouting", "OpenGateway",
+  "ReportAllowances", "ReportBatch",  "SetEvacuation", "SetQuarantine", "OrderRollout", "StepRollout",  "AllotExposure"
 };
 
 using CommandDecoder = Command (*)(const nlohmann::json&);
@@ -126,6 +126,24 @@
   return apply(aState.quarantine, aCommand, aIndex);
 }
 
+RolloutOutcome
+apply(ReplicatedState& aState, const OrderRollout& aCommand, LogIndex aIndex)
+{
+  return apply(aState.rollouts, aCommand, aIndex);
+}
+
+RolloutOutcome
+apply(ReplicatedState& aState, const StepRollout& aCommand, LogIndex aIndex)
+{
+  return apply(aState.rollouts, aCommand, aIndex);
+}
+
+RolloutOutcome
+apply(ReplicatedState& aState, const AllotExposure& aCommand, LogIndex aIndex)
+{
+  return apply(aState.rollouts, aCommand, aIndex);
+}
+
 } // namespace
 
 Outcome
@@ -184,6 +202,7 @@
   json["allowances"] = aState.allowances;
   json["evacuations"] = aState.evacuations;
   json["quarantine"] = aState.quarantine;
+  json["rollouts"] = aState.rollouts;
   return toCbor(json);
 }
 
@@ -204,6 +223,7 @@
     state.allowances = json.value("allowances", Allowances{});
     state.evacuations = json.value("evacuations", Evacuations{});
     state.quarantine = json.value("quarantine", Quarantine{});
+    state.rollouts = json.value("rollouts", Rollouts{});
     rebuildIndexes(state.ledger);
     return state;
   } catch (const nlohmann::json::exception& error) {
