Test that upstreams that crash together are no proof (fails)

A request that was open on three upstreams as they crashed at the same time is quarantined. Fails in CrashSuspects: takesNoProofFromUpstreamsThatCrashTogether, comparesTimesOfCrashesNotOfReports, findsARequestThatCrashesUpstreamsTogetherAgainAndAgain.

--- a/tests/controller/crash_suspects_test.cpp
+++ b/tests/controller/crash_suspects_test.cpp
@@ -33,6 +33,16 @@
     recordCrashes(suspects, broken(aRequest, aUpstream, std::move(aSubjects)), now);
   }
 
+  /// Crashes upstreams within a few milliseconds of each other, as when their rack loses power.
+  void crashTogether(int aRequest, std::vector<int> aUpstreams, const std::vector<std::string>& aSubjects)
+  {
+    now += Duration{ 1000 };
+    for (const auto upstream : aUpstreams) {
+      now += Duration{ 5 };
+      recordCrashes(suspects, broken(aRequest, upstream, aSubjects), now);
+    }
+  }
+
   std::string cause()
   {
     now += kOptions.crashSettleTime;
@@ -111,6 +121,43 @@
   STRCMP_EQUAL("crashing", cause().c_str());
 }
 
+// Guards against a popular request being refused because all upstreams of its service crashed while they ran it.
+TEST(CrashSuspects, takesNoProofFromUpstreamsThatCrashTogether)
+{
+  crashTogether(1, { 1, 2, 3 }, { "part" });
+  crashTogether(2, { 4, 5, 6, 7 }, { "part" });
+  STRCMP_EQUAL("", cause().c_str());
+}
+
+// Guards against reports that arrive one after the other hiding that upstreams crashed together.
+TEST(CrashSuspects, comparesTimesOfCrashesNotOfReports)
+{
+  for (int i = 0; i < 3; ++i) {
+    now += Duration{ 200 };
+    recordCrashes(suspects, { { "r1", "e" + std::to_string(i), {}, 200 * i } }, now);
+  }
+  STRCMP_EQUAL("", cause().c_str());
+}
+
+// Guards against a request that crashes upstreams being let through for good because many callers send it at once.
+TEST(CrashSuspects, findsARequestThatCrashesUpstreamsTogetherAgainAndAgain)
+{
+  for (int i = 0; i < 3; ++i) {
+    STRCMP_EQUAL("", cause().c_str());
+    crashTogether(1, { 10 * i, 10 * i + 1, 10 * i + 2 }, {});
+  }
+  STRCMP_EQUAL("request/r1", cause().c_str());
+}
+
+// Guards against two upstreams that crash by chance at the same time raising the number of crashes until a request is
+// found.
+TEST(CrashSuspects, countsTwoCrashesAtTheSameTime)
+{
+  crashTogether(1, { 1, 2 }, {});
+  crash(1, 3, {});
+  STRCMP_EQUAL("request/r1", cause().c_str());
+}
+
 // Guards against several requests that one crash broke off counting as several crashes.
 TEST(CrashSuspects, countsACrashOnce)
 {
