Count upstreams that crash together as one event

A request that was open on three upstreams as all upstreams of its service crashed was put in quarantine and refused for as long as anybody asked for it. Crashes of three or more upstreams within 50 ms may have one cause, so they now count like the crash of one upstream, by the time of the crash and not of its report. A request that crashes one upstream after the other is found after three as before.

--- a/src/controller/crash_suspects.cpp
+++ b/src/controller/crash_suspects.cpp
@@ -11,6 +11,13 @@
 /// Limit on the crashes that are remembered, and on the subjects of each.
 constexpr std::size_t kMaxCrashes = 256;
 constexpr std::size_t kMaxSubjects = 64;
+/// Crashes within this time of each other may have one cause, such as a machine or a network. Gateways notice a closed
+/// connection within milliseconds. A request that crashes one upstream after the other takes longer from one to the
+/// next: it must be sent again and begun.
+constexpr Duration kTogetherTime{ 50 };
+/// From this many upstreams on, crashes within that time are one event. Two are not, since two requests may crash
+/// upstreams at the same time by chance.
+constexpr std::size_t kTogetherUpstreams = 3;
 
 /// @return time of the last sound answer; the earliest time if there was none
 TimePoint
@@ -56,6 +63,44 @@
 
 using ExplainedBySubject = std::map<std::string, Explained>;
 
+/// Crashes within `kTogetherTime` after the first of them.
+struct CrashEvent
+{
+  std::size_t number = 0;
+  TimePoint from;
+  std::set<std::string> upstreams;
+};
+
+/// @return the events in order of time, each with the crashes up to the next one
+std::vector<CrashEvent>
+findEvents(const std::deque<Crash>& aCrashes)
+{
+  std::vector<const Crash*> sorted;
+  std::ranges::transform(aCrashes, std::back_inserter(sorted), [](const Crash& aEach) { return &aEach; });
+  std::ranges::sort(sorted, {}, &Crash::at);
+  std::vector<CrashEvent> events;
+  for (const auto* crash : sorted) {
+    if (events.empty() || crash->at - events.back().from >= kTogetherTime) {
+      events.push_back({ events.size(), crash->at, {} });
+    }
+    events.back().upstreams.insert(crash->upstream);
+  }
+  return events;
+}
+
+/// Counts a crash for a subject. That a request was open on upstreams that crashed together is no proof against it:
+/// they count like one upstream.
+void
+count(Explained& aExplained, const Crash& aCrash, const std::vector<CrashEvent>& aEvents)
+{
+  const auto next = std::ranges::upper_bound(aEvents, aCrash.at, {}, &CrashEvent::from);
+  const auto& event = *std::prev(next);
+  const bool together = event.upstreams.size() >= kTogetherUpstreams;
+  const auto name = "event " + std::to_string(event.number);
+  aExplained.upstreams.insert(together ? name : aCrash.upstream);
+  aExplained.requests.insert(together ? name : aCrash.request);
+}
+
 /// @return the subject that explains crashes of the most upstreams; empty if fewer than `crashesToQuarantine`
 template<typename Function>
 std::string
@@ -162,6 +207,7 @@
   if (aSuspects.crashes.empty() || aNow - aSuspects.crashes.back().reportedAt >= aOptions.suspectTime) {
     return {};
   }
+  const auto events = findEvents(aSuspects.crashes);
   ExplainedBySubject requests;
   ExplainedBySubject parts;
   for (const auto& crash : aSuspects.crashes) {
@@ -170,12 +216,9 @@
     }
     const auto request = requestSubject(crash.request);
     if (!aQuarantined.contains(request) && soundAt(aSuspects, request) < crash.at) {
-      requests[request].upstreams.insert(crash.upstream);
+      count(requests[request], crash, events);
     }
-    forEachPartInDoubt(aSuspects, crash, [&](const std::string& aPart) {
-      parts[aPart].upstreams.insert(crash.upstream);
-      parts[aPart].requests.insert(crash.request);
-    });
+    forEachPartInDoubt(aSuspects, crash, [&](const std::string& aPart) { count(parts[aPart], crash, events); });
   }
   // Repeats of one request show that it crashes upstreams, but not which part of it does.
   const auto part = strongestCause(
