Give the target of a running rollout no calls

An accepted rollout without a share for its target would have exposed a bad version to all callers, since all listed versions served. Gateways now leave the target out while the rollout runs, and after a rollback as long as another upstream of the service is left.

--- a/include/rhubarbarch/upstream/upstreams.h
+++ b/include/rhubarbarch/upstream/upstreams.h
@@ -21,6 +21,7 @@
   UpstreamEntry entry;
   bool listed = true;             ///< false: no longer in the platform's list
   bool evacuated = false;         ///< its data centre is evacuated and gets no new calls
+  bool barred = false;            ///< a rollout of its service gives its version no calls
   std::int64_t running = 0;       ///< calls of this gateway in progress
   Tokens prefillTokens = 0;       ///< prompt tokens to read for this gateway's calls without a first event
   std::int64_t othersRunning = 0; ///< calls of all other gateways, last reported by the leader
@@ -46,6 +47,8 @@
   bool received = false;
   std::set<DataCentre> evacuated; ///< data centres whose upstreams get no new calls
   std::uint64_t evacuationsRevision = 0;
+  std::vector<RolloutRule> rollouts; ///< the newest of each service
+  std::uint64_t rolloutsRevision = 0;
 };
 
 /// Replaces the list of upstreams unless it is older than the current one. Upstreams that are not in the list get no
@@ -86,7 +89,13 @@
 bool
 applyEvacuations(Upstreams& aUpstreams, const std::vector<DataCentre>& aDataCentres, std::uint64_t aRevision);
 
-/// @return whether the upstream may take calls: it is listed, not leaving, and not in an evacuated data centre
+/// Applies the rollouts in force unless the revision is not newer: a partitioned former leader may still answer.
+/// @return whether the revision was applied
+bool
+applyRollouts(Upstreams& aUpstreams, const std::vector<RolloutRule>& aRollouts, std::uint64_t aRevision);
+
+/// @return whether the upstream may take calls: it is listed, not leaving, not in an evacuated data centre, and no
+/// rollout bars its version
 bool
 usable(const Upstream& aUpstream) noexcept;
 
--- a/include/rhubarbarch/wire/gateway_messages.h
+++ b/include/rhubarbarch/wire/gateway_messages.h
@@ -2,6 +2,7 @@
 
 #include "rhubarbarch/base/ids.h"
 #include "rhubarbarch/wire/json_fields.h"
+#include "rhubarbarch/wire/rollouts.h"
 #include "rhubarbarch/wire/routing.h"
 #include "rhubarbarch/wire/routing_delta.h"
 
@@ -121,6 +122,8 @@
   bool hasQuarantine = false;
   std::uint64_t evacuationsRevision = 0; ///< log index of the last change of `evacuated`
   std::vector<DataCentre> evacuated;     ///< data centres whose upstreams get no new work
+  std::uint64_t rolloutsRevision = 0;    ///< log index of the last change of `rollouts`
+  std::vector<RolloutRule> rollouts;     ///< the newest of each service that was ever ordered one
   std::vector<CallPermit> permits;       ///< all upstreams whose rate is limited
   std::vector<std::string> suspects;     ///< subjects of broken answers; the gateway reports what it knows of them
   std::uint64_t quarantineRevision = 0;  ///< log index of the last change of `quarantined`
--- a/src/controller/gateways.cpp
+++ b/src/controller/gateways.cpp
@@ -221,6 +221,8 @@
   answer.hasOthersUse = false;
   answer.evacuationsRevision = toNumber(aContext.state.evacuations.changedAt);
   answer.evacuated = aContext.state.evacuations.dataCentres;
+  answer.rolloutsRevision = toNumber(aContext.state.rollouts.changedAt);
+  std::ranges::transform(aContext.state.rollouts.rollouts, std::back_inserter(answer.rollouts), &state::Rollout::rule);
   addSuspects(answer, aContext);
   addQuarantine(answer, aContext, aPoll);
   answer.gateways = static_cast<std::uint32_t>(std::ranges::count_if(aContext.memory.gateways, [&](const auto& aItem) {
--- a/src/gateway/control.cpp
+++ b/src/gateway/control.cpp
@@ -203,6 +203,17 @@
   }
 }
 
+void
+updateRollouts(State& aState, const GatewayState& aAnswer)
+{
+  if (applyRollouts(aState.upstreams, aAnswer.rollouts, aAnswer.rolloutsRevision)) {
+    log(aState,
+        Severity::kInfo,
+        "rollouts_in_force",
+        { { "revision", aAnswer.rolloutsRevision }, { "rollouts", aAnswer.rollouts.size() } });
+  }
+}
+
 void
 endSession(State& aState)
 {
@@ -241,6 +252,7 @@
   link.gateways.record(aAnswer.gateways, aState.now);
   updateControllers(aState, aAnswer.controllers);
   updateEvacuations(aState, aAnswer);
+  updateRollouts(aState, aAnswer);
   updateQuarantine(aState, aAnswer);
   const bool first = !aState.index;
   if (aAnswer.hasRouting) {
--- a/src/upstream/upstreams.cpp
+++ b/src/upstream/upstreams.cpp
@@ -20,6 +20,36 @@
 /// Half-life of recorded errors and times.
 constexpr double kHalfLifeMs = 3000;
 
+bool
+present(const Upstream& aUpstream)
+{
+  return aUpstream.listed && !aUpstream.entry.leaving;
+}
+
+/// Derives which upstreams a rollout bars. While a rollout runs, its target version gets no calls, since the share of
+/// an unproved version is not dealt out yet. Once it was rolled back, the target serves only where nothing else is
+/// left: no fault of it was seen, and a refusal would help no caller.
+void
+updateBarred(Upstreams& aUpstreams, const RolloutRule& aRule)
+{
+  const auto use = [&](const Upstream& aUpstream) { return versionUse(aRule, aUpstream.entry.version); };
+  const bool othersServe = std::ranges::any_of(aUpstreams.byId, [&](const auto& aItem) {
+    const auto& upstream = aItem.second;
+    return upstream.entry.service == aRule.service && present(upstream) && use(upstream) == VersionUse::kServes;
+  });
+  for (auto& [id, upstream] : aUpstreams.byId) {
+    if (upstream.entry.service == aRule.service) {
+      upstream.barred = use(upstream) != VersionUse::kServes && (isOpen(aRule.phase) || othersServe);
+    }
+  }
+}
+
+void
+updateBarred(Upstreams& aUpstreams)
+{
+  std::ranges::for_each(aUpstreams.rollouts, [&](const auto& aRule) { updateBarred(aUpstreams, aRule); });
+}
+
 } // namespace
 
 void
@@ -46,9 +76,22 @@
   }
   aUpstreams.listedAt = aReadAt;
   aUpstreams.received = true;
+  updateBarred(aUpstreams);
   removeUnlisted(aUpstreams, aNow);
 }
 
+bool
+applyRollouts(Upstreams& aUpstreams, const std::vector<RolloutRule>& aRollouts, std::uint64_t aRevision)
+{
+  if (aRevision <= aUpstreams.rolloutsRevision) {
+    return false;
+  }
+  aUpstreams.rolloutsRevision = aRevision;
+  aUpstreams.rollouts = aRollouts;
+  updateBarred(aUpstreams);
+  return true;
+}
+
 bool
 applyEvacuations(Upstreams& aUpstreams, const std::vector<DataCentre>& aDataCentres, std::uint64_t aRevision)
 {
@@ -132,7 +175,7 @@
 bool
 usable(const Upstream& aUpstream) noexcept
 {
-  return aUpstream.listed && !aUpstream.entry.leaving && !aUpstream.evacuated;
+  return present(aUpstream) && !aUpstream.evacuated && !aUpstream.barred;
 }
 
 void
--- a/tests/gateway/control_test.cpp
+++ b/tests/gateway/control_test.cpp
@@ -180,6 +180,35 @@
   }
 }
 
+// Guards against calls to an unproved version while its rollout runs, and against a service without upstreams once the
+// rollout was rolled back and the old version is gone.
+TEST(GatewayControl, sendsNoCallsToTheTargetOfARollout)
+{
+  fleet.upstreams[2].version = "v2";
+  fleet.start();
+  auto state = fleet.state();
+  state.upstreamsRevision = 2;
+  state.rolloutsRevision = 9;
+  state.rollouts = { { "desk", "v2", RolloutPhase::kRunning, LogIndex{ 9 }, "", {} } };
+  fleet.handle(PeerMessage{ { kLeader, Role::kController }, state });
+  fleet.clearActions();
+  for (int request = 0; request < 6; ++request) {
+    fleet.call("/stock/1");
+    CHECK_EQUAL(std::string("d2"), fleet.takeOne<StartCall>().upstreamId);
+  }
+  state.rolloutsRevision = 12;
+  state.rollouts.front().phase = RolloutPhase::kRolledBack;
+  state.rollouts.front().barred = { "v2" };
+  fleet.handle(PeerMessage{ { kLeader, Role::kController }, state });
+  fleet.call("/stock/1");
+  CHECK_EQUAL(std::string("d2"), fleet.takeOne<StartCall>().upstreamId);
+  std::erase_if(state.upstreams, [](const auto& aEntry) { return aEntry.id == "d2"; });
+  state.upstreamsRevision = 3;
+  fleet.handle(PeerMessage{ { kLeader, Role::kController }, state });
+  fleet.call("/stock/1");
+  CHECK_EQUAL(std::string("d1"), fleet.takeOne<StartCall>().upstreamId);
+}
+
 // Guards against a partitioned former leader undoing an evacuation, and against a new list of upstreams undoing it.
 TEST(GatewayControl, keepsTheLatestEvacuations)
 {
