Draw two of the near-best engines and take the better one

Gateways see the same loads, up to two polls old, and all chose the same engine for a prompt without a preferred one. The engine that a session prefers is kept, and no engine is drawn that has to read more.

--- a/src/gateway/attempts.cpp
+++ b/src/gateway/attempts.cpp
@@ -409,6 +409,7 @@
   }
   auto wanted = placementRequest(aState, aRequest);
   wanted.addsDemand = !aRequest.waitsUntil;
+  wanted.random = &aState.random;
   const auto placed = place(aState.upstreams, wanted, aState.now);
   if (placed.upstream == nullptr && placed.limited) {
     waitForPermit(aState, aRequest);
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -33,6 +33,8 @@
 constexpr double kErrorMargin = 0.15;
 constexpr double kErrorMs = 3000;
 
+/// Engines within this cost of the best are near-best: about the error of the loads between two polls.
+constexpr double kNearBestMs = 5;
 /// A target that is missed already counts as this near.
 constexpr double kLeastLeftMs = 10;
 /// Weight of one request in the typical product of reading time and slack: a memory of some 50 requests.
@@ -201,6 +203,32 @@
   recordDemand(best->upstream->limit, aNow);
 }
 
+/// Draws two of the engines that are nearly as good as the best and returns the better one, since many gateways see the
+/// same loads and would all choose the best. The engine that a session prefers is kept, and no engine is taken that has
+/// to read more.
+/// @param aFound in rendezvous order
+std::vector<Candidate>::iterator
+chooseNearBest(std::vector<Candidate>& aFound, std::vector<Candidate>::iterator aBest, const PlacementRequest& aRequest)
+{
+  const bool isPreferred = aBest == aFound.begin() && !affinityPart(*aRequest.prompt).empty();
+  if (aRequest.random == nullptr || isPreferred) {
+    return aBest;
+  }
+  std::vector<std::vector<Candidate>::iterator> near;
+  for (auto each = aFound.begin(); each != aFound.end(); ++each) {
+    if (each->permitted && each->cost <= aBest->cost + kNearBestMs && each->uncachedTokens <= aBest->uncachedTokens) {
+      near.push_back(each);
+    }
+  }
+  if (near.size() < 2) {
+    return aBest;
+  }
+  std::uniform_int_distribution<std::size_t> draw(0, near.size() - 1);
+  const auto first = near[draw(*aRequest.random)];
+  const auto second = near[draw(*aRequest.random)];
+  return second->cost < first->cost ? second : first;
+}
+
 } // namespace
 
 Placement
@@ -231,8 +259,11 @@
     none.limited = true;
     return none;
   }
-  const auto best =
+  auto best =
     std::ranges::min_element(found, {}, [](const Candidate& aEach) { return std::pair(!aEach.permitted, aEach.cost); });
+  if (aRequest.service->isEngine && aRequest.prompt != nullptr) {
+    best = chooseNearBest(found, best, aRequest);
+  }
   Placement placed;
   placed.upstream = best->upstream;
   placed.expected = Duration(std::llround(best->expected));
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -3,6 +3,7 @@
 #include "rhubarbarch/upstream/upstreams.h"
 #include "rhubarbarch/wire/routing.h"
 
+#include <random>
 #include <set>
 #include <string>
 #include <vector>
@@ -22,6 +23,7 @@
   Duration target{ 0 };                            ///< target time to the first event, set by the operator
   const std::set<std::string>* avoid = nullptr;    ///< upstreams that were already tried; may be null
   DataCentre dataCentre;                           ///< of this gateway
+  std::mt19937_64* random = nullptr;               ///< engines: chooses among near-best ones; null: always the best
   bool addsDemand = true; ///< false: the request was placed before and counts already among those that need a permit
 };
 
--- a/tests/gateway/placement_test.cpp
+++ b/tests/gateway/placement_test.cpp
@@ -237,6 +237,32 @@
   CHECK_COMPARE(late[1], <, 20);
 }
 
+// Load pattern: prompts without shared parts at many gateways that see the same loads. Guards against all of them
+// choosing the same engine, and against sessions leaving the engine that has their prompt.
+TEST(Placement, spreadsOverNearBestEngines)
+{
+  std::map<std::string, int> counts;
+  for (std::uint64_t gateway = 0; gateway < 600; ++gateway) {
+    std::mt19937_64 random(gateway);
+    const std::vector<PromptPart> parts = { { "q", 2000 } };
+    PlacementRequest request;
+    request.service = &service;
+    request.prompt = &parts;
+    request.promptTokens = 2000;
+    request.target = Duration{ 600 };
+    request.random = &random;
+    ++counts[place(upstreams, request, now).upstream->entry.id];
+    const auto session = prompt(1, static_cast<int>(gateway));
+    const auto preferred = choose(session).upstream;
+    request.prompt = &session;
+    request.promptTokens = 7000;
+    CHECK(place(upstreams, request, now).upstream == preferred);
+  }
+  for (const auto& [id, count] : counts) {
+    CHECK_COMPARE(count, <, 300);
+  }
+}
+
 // Guards against a request passing one of a more urgent plan, and against a long prompt passing a short one with a near
 // target at the same urgency.
 TEST(Placement, refinesPrioritiesWithinAnUrgency)
