Test documents that are too large or nested too deeply (fails)

Fails in RoutingDocument.refusesDeepNesting (a document that nests a million deep overflows the stack as it is written out) and GatewaysController.refusesADocumentLargerThanAFrame (200 instead of 413).

--- a/tests/controller/gateways_test.cpp
+++ b/tests/controller/gateways_test.cpp
@@ -1,5 +1,7 @@
 #include "controller_harness.h"
 
+#include "rhubarbarch/wire/codec.h"
+
 #include <CppUTest/TestHarness.h>
 
 using namespace rhubarbarch;
@@ -306,3 +308,12 @@
   group.run(Duration{ 1000 });
   CHECK_EQUAL(100, group.last<GatewayState>(kFirst).plans.at(0).issued);
 }
+
+// Guards against a document being accepted whose log entry no other controller can receive: it would never be in force,
+// and the leader could replicate nothing after it.
+TEST(GatewaysController, refusesADocumentLargerThanAFrame)
+{
+  const std::string large(kMaxFrameBytes, 'x');
+  CHECK_EQUAL(413, fleet.answered(controller::PutRouting{ tableOf(9, 1000), large, "9" }).httpStatus);
+  CHECK_EQUAL(200, fleet.answered(controller::PutRouting{ tableOf(9, 1000), "source", "9" }).httpStatus);
+}
--- a/tests/platform/routing_document_test.cpp
+++ b/tests/platform/routing_document_test.cpp
@@ -93,3 +93,18 @@
   CHECK_FALSE(decodeRouting(text.substr(0, text.size() / 2)).has_value());
   CHECK_FALSE(decodeRouting("").has_value());
 }
+
+// Guards against a document whose nesting exhausts the stack when it is written out again.
+TEST(RoutingDocument, refusesDeepNesting)
+{
+  constexpr std::size_t kDepth = 1'000'000;
+  const auto text = document.dump();
+  for (const auto& extra :
+       { std::string(kDepth, '[') + std::string(kDepth, ']'), std::string(65, '[') + std::string(65, ']') }) {
+    const auto decoded = decodeRouting(text.substr(0, text.size() - 1) + ",\"Extra\":" + extra + "}");
+    CHECK_FALSE(decoded.has_value());
+    STRCMP_CONTAINS("nested", decoded.error().detail.c_str());
+  }
+  CHECK(
+    decodeRouting(text.substr(0, text.size() - 1) + ",\"Extra\":\"\\\"" + std::string(100, '[') + "\"}").has_value());
+}
