--- a/src/controller/controller_role.cpp
+++ b/src/controller/controller_role.cpp
@@ -2,6 +2,7 @@
 
 #include "controllers.h"
 #include "rhubarbarch/consensus/replica.h"
+#include "rhubarbarch/wire/codec.h"
 
 #include <algorithm>
 #include <deque>
@@ -19,6 +20,9 @@
 // Commands that hold complete documents fill memory and disk long before their number reaches the snapshot threshold.
 // The limit holds a few documents of the largest size that operators may send.
 constexpr std::size_t kSnapshotBytes = std::size_t{ 4 } * 1024 * 1024;
+// Largest command that an operator may propose. It must fit into one frame with the message that replicates it, which
+// adds some hundred bytes.
+constexpr std::size_t kMaxCommandBytes = kMaxFrameBytes - std::size_t{ 64 } * 1024;
 // A controller that leads without serving, or knows no leader, logs this once per period.
 constexpr Duration kStallReport{ 1500 };
 // Longest time that a shutdown waits for a follower to take over.
@@ -151,8 +155,15 @@
 bool
 ControllerRole::Core::propose(state::Command aCommand, Completion aDone, std::optional<OperatorId> aOperator)
 {
+  auto command = state::encodeCommand(aCommand);
+  if (aOperator && command.size() > kMaxCommandBytes) {
+    const auto detail = "the change takes " + std::to_string(command.size()) + " bytes of " +
+                        std::to_string(kMaxCommandBytes) + " that can be replicated";
+    actions->emplace_back(OperatorReply{ *aOperator, 413, { { "error", "too_large" }, { "detail", detail } }, {} });
+    return false;
+  }
   consensus::Output output;
-  const auto index = replica.propose(state::encodeCommand(aCommand), now, output);
+  const auto index = replica.propose(std::move(command), now, output);
   if (index.has_value()) {
     pending.insert_or_assign(index.value(), Pending{ replica.term(), std::move(aDone), aOperator });
   } else if (aOperator) {
