--- a/tests/support/child_process.h
+++ b/tests/support/child_process.h
@@ -147,6 +147,7 @@
   }
 
   bool running() const noexcept { return mPid > 0; }
+  pid_t pid() const noexcept { return mPid; }
 
   /// The last lines of the log, for messages of failed checks.
   std::string logTail() const
