Hold each request to the limits in force when it begins

A connection sized its read buffer when it was accepted, and its parser when the previous request had ended. After MaxHeaderBytes had risen, a long header on an older connection threw std::length_error and ended the process, and the first request after a change was held to the old limits. A field of 64 KB or more threw in the parser under any limit above 64 KB.

The parser is now made with the first byte of a request; the buffer is bounded by what is read. A field that the library cannot hold gets 431.

--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -11,6 +11,8 @@
 
 #include <array>
 #include <deque>
+#include <limits>
+#include <stdexcept>
 #include <utility>
 
 namespace rhubarbarch::net {
@@ -37,6 +39,14 @@
   kClosing    ///< the last answer is being written, then what arrives is discarded
 };
 
+/// Limits of one request: those in force when its first byte was read.
+struct RequestLimits
+{
+  std::size_t headerBytes = 0;
+  std::size_t bodyBytes = 0;
+  Duration receiveTimeout{ 0 };
+};
+
 /// Bytes to write; `body` bytes are reported as drained.
 struct Piece
 {
@@ -55,7 +65,6 @@
     , mTimer(mSocket.get_executor())
     , mWriteTimer(mSocket.get_executor())
     , mShared(std::move(aShared))
-    , mBuffer(mShared->options.maxHeaderBytes + mShared->options.maxPipelinedBytes + kReadBytes)
   {
     error_code ignored;
     ignoreError(mSocket.set_option(tcp::no_delay(true), ignored));
@@ -102,6 +111,7 @@
 
 private:
   void awaitRequest(Duration aTimeout);
+  void beginRequest();
   void read();
   void received(const error_code& aError, std::size_t aBytes);
   void feed();
@@ -129,7 +139,8 @@
   boost::asio::steady_timer mTimer;
   boost::asio::steady_timer mWriteTimer;
   std::shared_ptr<HttpShared> mShared;
-  boost::beast::flat_buffer mBuffer;
+  boost::beast::flat_buffer mBuffer; ///< bounded by what is read, not by itself
+  RequestLimits mLimits;
   std::unique_ptr<Parser> mParser;
   std::deque<Piece> mOut;
   Phase mPhase = Phase::kIdle;
@@ -151,12 +162,6 @@
 Connection::awaitRequest(Duration aTimeout)
 {
   mPhase = Phase::kIdle;
-  mParser = std::make_unique<Parser>();
-  mParser->header_limit(static_cast<std::uint32_t>(mShared->options.maxHeaderBytes));
-  mParser->body_limit(mShared->options.maxBodyBytes);
-  mParser->eager(true);
-  mExpectationSeen = false;
-  mHeadOnly = false;
   armTimer(aTimeout);
   if (mBuffer.size() > 0) {
     feed();
@@ -164,6 +169,23 @@
   read();
 }
 
+// The limits may have changed since the connection was opened and since its last request.
+void
+Connection::beginRequest()
+{
+  const auto& options = mShared->options;
+  mPhase = Phase::kReceiving;
+  mLimits = { options.maxHeaderBytes, options.maxBodyBytes, options.receiveTimeout };
+  mParser = std::make_unique<Parser>();
+  mParser->header_limit(
+    static_cast<std::uint32_t>(std::min<std::size_t>(mLimits.headerBytes, std::numeric_limits<std::uint32_t>::max())));
+  mParser->body_limit(mLimits.bodyBytes);
+  mParser->eager(true);
+  mExpectationSeen = false;
+  mHeadOnly = false;
+  armTimer(mLimits.receiveTimeout);
+}
+
 void
 Connection::read()
 {
@@ -203,14 +225,13 @@
 Connection::feed()
 {
   if (mPhase == Phase::kIdle) {
-    mPhase = Phase::kReceiving;
-    armTimer(mShared->options.receiveTimeout);
+    beginRequest();
   }
   while (mPhase == Phase::kReceiving && mBuffer.size() > 0 && !mParser->is_done() && parseSome()) {
   }
   if (mPhase == Phase::kReceiving && mParser->is_done()) {
     dispatch();
-  } else if (mPhase == Phase::kReceiving && mBuffer.size() > mShared->options.maxHeaderBytes) {
+  } else if (mPhase == Phase::kReceiving && mBuffer.size() > mLimits.headerBytes) {
     // The parser waits for the end of a chunk's header or of the trailer, for which it has no limit.
     refuse({ 400, "malformed_request" });
   }
@@ -220,7 +241,13 @@
 Connection::parseSome()
 {
   error_code error;
-  const auto used = mParser->put(mBuffer.data(), error);
+  std::size_t used = 0;
+  try {
+    used = mParser->put(mBuffer.data(), error);
+  } catch (const std::length_error&) {
+    // The library cannot hold a field of 64 KB or more, whatever the limit of the whole head.
+    error = http::error::header_limit;
+  }
   mBuffer.consume(used);
   if (error && error != http::error::need_more) {
     refuseMalformed(error);
--- a/tests/net/http_server_test.cpp
+++ b/tests/net/http_server_test.cpp
@@ -173,6 +173,40 @@
   CHECK(seen.copy().requests.empty());
 }
 
+// Guards against the end of the process by a head longer than the limit was when its connection was opened, and against
+// the first request after a change that is held to the old limits.
+TEST(HttpServer, limitsBelongToTheRequest)
+{
+  start();
+  RawSocket caller(server->port());
+  caller.send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+  answer(awaitRequest(1).caller, "first");
+  CHECK(caller.readUntil("first").starts_with("HTTP/1.1 200 "));
+  loop.run([&] { server->limit(131'072, 100'000, options.receiveTimeout, options.idleTimeout); });
+  const std::string field = ": " + std::string(50'000, 'x') + "\r\n";
+  caller.send("POST /b HTTP/1.1\r\nHost: h\r\nA" + field + "B" + field + "Content-Length: 90000\r\n\r\n" +
+              std::string(90'000, 'y'));
+  const auto request = awaitRequest(2);
+  CHECK_EQUAL(90'000U, request.body.size());
+  answer(request.caller, "second");
+  CHECK(caller.readUntil("second").starts_with("HTTP/1.1 200 "));
+  loop.run([&] { server->limit(2048, 1000, options.receiveTimeout, options.idleTimeout); });
+  caller.send("POST /c HTTP/1.1\r\nHost: h\r\nContent-Length: 1001\r\n\r\n");
+  STRCMP_EQUAL("HTTP/1.1 413 Payload Too Large\r\n", caller.readUntil("\r\n").c_str());
+}
+
+// Guards against the end of the process by a field longer than the HTTP library can hold.
+TEST(HttpServer, refusesAFieldLongerThanTheLibraryHolds)
+{
+  options.maxHeaderBytes = 131'072;
+  start();
+  const std::string filler(70'000, 'x');
+  STRCMP_EQUAL("HTTP/1.1 431 Request Header Fields Too Large\r\n",
+               statusOf("GET / HTTP/1.1\r\nA: " + filler + "\r\n\r\n").c_str());
+  STRCMP_EQUAL("HTTP/1.1 431 Request Header Fields Too Large\r\n",
+               statusOf("GET / HTTP/1.1\r\n" + filler + ": a\r\n\r\n").c_str());
+}
+
 // Guards against malformed requests and methods without meaning here reaching the router.
 TEST(HttpServer, refusesMalformedRequests)
 {
