Bound what callers make a process hold by one memory account

Bodies that stall short of their end, and many open requests, brought a process over its memory, because admission followed from fixed numbers of connections and requests. Each connection also held a read buffer of 16 KB while idle.

The listeners of a process now share an account with a ceiling of half its memory (MemoryMb, memory_mb in a YAML file; without it nothing is bounded, as before). Connections, heads, bodies, open requests and unwritten answers are charged before they are read. When bytes are lacking, stalled requests get 408, then the one that needs them 503 with Retry-After before its body is read; a reserve is kept for requests of up to 128 KB. Bodies are timed by progress: 16 KB in each receive time-out. Refusals share one log line a second. Operators' bodies are limited to an eighth of the memory. Connections without a request and calls without an answer hold no read buffer, and freed blocks of 128 KB or more return to the operating system.

--- a/include/rhubarbarch/net/http_server.h
+++ b/include/rhubarbarch/net/http_server.h
@@ -4,6 +4,7 @@
 #include "rhubarbarch/base/log_line.h"
 #include "rhubarbarch/base/metric.h"
 #include "rhubarbarch/base/time.h"
+#include "rhubarbarch/net/memory_account.h"
 #include "rhubarbarch/router/events.h"
 #include "rhubarbarch/settings/settings.h"
 
@@ -26,10 +27,12 @@
   std::size_t maxBodyBytes = std::size_t{ 4 } * 1024 * 1024;
   std::size_t maxConnections = 4096;                        ///< beyond it: 503 with `Retry-After`
   std::size_t maxPipelinedBytes = std::size_t{ 64 } * 1024; ///< of later requests, read ahead during an answer
-  Duration receiveTimeout{ 10'000 };                        ///< for a whole header and body; then 408
+  Duration receiveTimeout{ 10'000 };                        ///< for a header, and for progress of a body; then 408
   Duration idleTimeout{ 60'000 };                           ///< between two requests
   Duration writeTimeout{ 600'000 };                         ///< without a byte taken by the caller
   bool passFields = false;                                  ///< requests carry their target and all header fields
+  std::size_t openRequestBytes = 0;       ///< charged for a request that was passed on, besides head and body
+  std::shared_ptr<MemoryAccount> account; ///< shared by the servers of a process; null: no bound
 };
 
 /// Callbacks, all on the thread of the event loop.
--- a/include/rhubarbarch/settings/settings.h
+++ b/include/rhubarbarch/settings/settings.h
@@ -125,6 +125,7 @@
   GatewaySettings gatewaySettings;
   std::optional<Endpoint> upstreamList; ///< serves the platform's list of upstreams; gateways and controllers
   Duration shutdownTimeout{ 60'000 };   ///< for a graceful shutdown
+  std::size_t memoryMb = 0;             ///< of the process; zero: what its callers may make it hold is not bounded
 };
 
 /// Parses and checks a settings document.
--- a/src/daemon/control_part.cpp
+++ b/src/daemon/control_part.cpp
@@ -15,6 +15,14 @@
 
 namespace {
 
+net::HttpServerOptions
+serverOptions(const Process& aProcess)
+{
+  auto options = controlServerOptions(aProcess.settings);
+  options.account = aProcess.memory;
+  return options;
+}
+
 void
 sendAnswer(net::HttpServer& aServer,
            router::CallerId aCaller,
@@ -38,7 +46,7 @@
 
 ControlPart::ControlPart(Process& aProcess)
   : mProcess(aProcess)
-  , mServer(mThread.context, controlServerOptions(aProcess.settings.controllerSettings.control), events())
+  , mServer(mThread.context, serverOptions(aProcess), events())
   , mReplies(kLaneCount, kRingEvents, kOverflowMessages, [this] {
     boost::asio::post(mThread.context,
                       [this] { mReplies.drain([this](const controller::OperatorReply& aReply) { answer(aReply); }); });
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -4,6 +4,7 @@
 #include "operator_part.h"
 #include "parts.h"
 #include "peer_part.h"
+#include "role_options.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
@@ -54,7 +55,8 @@
                  if (control) {
                    control->readUpstreams();
                  }
-               } }
+               },
+               std::make_shared<net::MemoryAccount>(callerMemory(settings)) }
   {
   }
 
@@ -280,6 +282,7 @@
     add(peers->metrics());
     add(operators->metrics());
     add(log.metrics());
+    add(process.memory->metrics());
     return all;
   }
 
--- a/src/daemon/gateway_part.cpp
+++ b/src/daemon/gateway_part.cpp
@@ -38,20 +38,27 @@
   return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
 }
 
+/// An open request besides its head and body: its state, the call to its upstream with a read buffer of 16 KB, parser
+/// and fields.
+constexpr std::size_t kOpenRequestBytes = std::size_t{ 24 } * 1024;
+
 net::HttpServerOptions
-readyServerOptions(const settings::Endpoint& aListen)
+readyServerOptions(const Process& aProcess)
 {
   net::HttpServerOptions options;
   options.name = "ready";
-  options.listen = aListen;
+  options.listen = aProcess.settings.gatewaySettings.ready;
+  options.account = aProcess.memory;
   return options;
 }
 
 net::HttpServerOptions
-gatewayServerOptions(const settings::CallerSettings& aSettings)
+gatewayServerOptions(const Process& aProcess)
 {
-  auto options = callerServerOptions(aSettings);
+  auto options = callerServerOptions(aProcess.settings.caller);
   options.passFields = true;
+  options.openRequestBytes = kOpenRequestBytes;
+  options.account = aProcess.memory;
   return options;
 }
 
@@ -62,8 +69,8 @@
 public:
   explicit GatewayPart(Process& aProcess)
     : mProcess(aProcess)
-    , mServer(mThread.context, gatewayServerOptions(aProcess.settings.caller), callerEvents())
-    , mReadyServer(mThread.context, readyServerOptions(aProcess.settings.gatewaySettings.ready), readyEvents())
+    , mServer(mThread.context, gatewayServerOptions(aProcess), callerEvents())
+    , mReadyServer(mThread.context, readyServerOptions(aProcess), readyEvents())
     , mInbox(kLaneCount,
              kRingEvents,
              kOverflowMessages,
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -8,6 +8,8 @@
 #include <gflags/gflags.h>
 #include <glog/logging.h>
 
+#include <malloc.h>
+
 #include <csignal>
 #include <cstdio>
 #include <iostream>
@@ -19,6 +21,9 @@
 namespace {
 
 constexpr const char* kVersion = "0.1.0";
+/// Blocks from this size, such as bodies, are returned to the operating system when they are freed. Otherwise the
+/// allocator raises the bound with each block that is freed, up to 32 MB, and keeps them.
+constexpr int kReturnedBlockBytes = 128 * 1024;
 
 using rhubarbarch::daemon::Daemon;
 using Reload = rhubarbarch::Result<rhubarbarch::settings::Settings> (*)();
@@ -61,6 +66,7 @@
   if (FLAGS_check) {
     return rhubarbarch::daemon::kClean;
   }
+  ::mallopt(M_MMAP_THRESHOLD, kReturnedBlockBytes);
   google::InitGoogleLogging(aArguments[0]);
   // A closed pipe or socket is reported by the write that fails.
   std::signal(SIGPIPE, SIG_IGN);
--- a/src/daemon/operator_part.cpp
+++ b/src/daemon/operator_part.cpp
@@ -8,10 +8,22 @@
 
 namespace rhubarbarch::daemon {
 
+namespace {
+
+net::HttpServerOptions
+serverOptions(const Process& aProcess)
+{
+  auto options = operatorServerOptions(aProcess.settings);
+  options.account = aProcess.memory;
+  return options;
+}
+
+} // namespace
+
 OperatorPart::OperatorPart(Process& aProcess, std::function<bool()> aReady, std::function<Metrics()> aMetrics)
   : mProcess(aProcess)
   , mServer(mThread.context,
-            operatorServerOptions(aProcess.settings.operators),
+            serverOptions(aProcess),
             aProcess.settings.operators.token,
             events(std::move(aReady), std::move(aMetrics)))
   , mReplies(kLaneCount, kRingEvents, kOverflowMessages, [this] {
--- a/src/daemon/parts.h
+++ b/src/daemon/parts.h
@@ -5,6 +5,7 @@
 #include "rhubarbarch/base/error.h"
 #include "rhubarbarch/base/metric.h"
 #include "rhubarbarch/net/log_writer.h"
+#include "rhubarbarch/net/memory_account.h"
 #include "rhubarbarch/settings/settings.h"
 #include "role_dispatcher.h"
 
@@ -22,9 +23,10 @@
   net::LogWriter& log;
   RoleDispatcher& dispatcher;
   Boot boot{};
-  std::string endpoint;                ///< `ip:port` of the peer listener in use
-  std::function<void(Role)> stopped;   ///< the graceful shutdown of a role is complete; any thread
-  std::function<void()> readUpstreams; ///< read the platform's list for the controller; any thread
+  std::string endpoint;                                 ///< `ip:port` of the peer listener in use
+  std::function<void(Role)> stopped;                    ///< the graceful shutdown of a role is complete; any thread
+  std::function<void()> readUpstreams;                  ///< read the platform's list for the controller; any thread
+  std::shared_ptr<net::MemoryAccount> memory = nullptr; ///< of all servers of the process; null: no bound
 };
 
 /// One role with its threads and servers. All members are called on the main thread unless they say otherwise.
--- a/src/daemon/role_options.cpp
+++ b/src/daemon/role_options.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <limits>
 
 namespace rhubarbarch::daemon {
 
@@ -10,6 +11,19 @@
 // Lists of a large fleet are applied in one request.
 constexpr std::size_t kMaxOperatorBody = std::size_t{ 64 } * 1024 * 1024;
 constexpr std::size_t kMaxOperatorConnections = 64;
+constexpr std::size_t kBytesPerMb = std::size_t{ 1024 } * 1024;
+// Callers get half of a process's memory. The rest is code, tables, logs and what the allocator cannot use.
+constexpr std::size_t kCallerMemoryDivisor = 2;
+// A list or configuration is held as text, as parsed JSON and as state, some five times its size; a quarter of the
+// account holds it.
+constexpr std::size_t kOperatorBodyDivisor = 8;
+
+std::size_t
+operatorBodyLimit(const settings::Settings& aSettings)
+{
+  const auto memory = aSettings.memoryMb * kBytesPerMb;
+  return memory == 0 ? kMaxOperatorBody : std::min(kMaxOperatorBody, memory / kOperatorBodyDivisor);
+}
 
 std::vector<InstanceId>
 controllerNames(const settings::Settings& aSettings)
@@ -96,6 +110,13 @@
   return options;
 }
 
+std::size_t
+callerMemory(const settings::Settings& aSettings)
+{
+  return aSettings.memoryMb == 0 ? std::numeric_limits<std::size_t>::max()
+                                 : aSettings.memoryMb * kBytesPerMb / kCallerMemoryDivisor;
+}
+
 net::HttpServerOptions
 callerServerOptions(const settings::CallerSettings& aSettings)
 {
@@ -110,24 +131,24 @@
 }
 
 net::HttpServerOptions
-controlServerOptions(const settings::Endpoint& aListen)
+controlServerOptions(const settings::Settings& aSettings)
 {
   net::HttpServerOptions options;
   options.name = "control";
-  options.listen = aListen;
-  options.maxBodyBytes = kMaxOperatorBody;
+  options.listen = aSettings.controllerSettings.control;
+  options.maxBodyBytes = operatorBodyLimit(aSettings);
   options.maxConnections = kMaxOperatorConnections;
   options.passFields = true;
   return options;
 }
 
 net::HttpServerOptions
-operatorServerOptions(const settings::OperatorSettings& aSettings)
+operatorServerOptions(const settings::Settings& aSettings)
 {
   net::HttpServerOptions options;
   options.name = "operator";
-  options.listen = aSettings.listen;
-  options.maxBodyBytes = kMaxOperatorBody;
+  options.listen = aSettings.operators.listen;
+  options.maxBodyBytes = operatorBodyLimit(aSettings);
   options.maxConnections = kMaxOperatorConnections;
   return options;
 }
--- a/src/daemon/role_options.h
+++ b/src/daemon/role_options.h
@@ -31,12 +31,16 @@
 
 /// Server for the platform's operator.
 net::HttpServerOptions
-controlServerOptions(const settings::Endpoint& aListen);
+controlServerOptions(const settings::Settings& aSettings);
+
+/// @return most bytes that those who connect to the process may make it hold; the largest number: no bound
+std::size_t
+callerMemory(const settings::Settings& aSettings);
 
 net::HttpServerOptions
 callerServerOptions(const settings::CallerSettings& aSettings);
 
 net::HttpServerOptions
-operatorServerOptions(const settings::OperatorSettings& aSettings);
+operatorServerOptions(const settings::Settings& aSettings);
 
 } // namespace rhubarbarch::daemon
--- a/src/daemon/router_part.cpp
+++ b/src/daemon/router_part.cpp
@@ -15,12 +15,20 @@
 
 using Loop = RoleLoop<router::RouterRole, router::Event, router::Actions>;
 
+net::HttpServerOptions
+serverOptions(const Process& aProcess)
+{
+  auto options = callerServerOptions(aProcess.settings.caller);
+  options.account = aProcess.memory;
+  return options;
+}
+
 class RouterPart : public RolePart
 {
 public:
   explicit RouterPart(Process& aProcess)
     : mProcess(aProcess)
-    , mServer(mThread.context, callerServerOptions(aProcess.settings.caller), serverEvents())
+    , mServer(mThread.context, serverOptions(aProcess), serverEvents())
     , mCommands(kLaneCount,
                 kRingEvents,
                 kOverflowMessages,
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -26,11 +26,30 @@
 
 constexpr std::size_t kReadBytes = std::size_t{ 16 } * 1024;
 constexpr std::size_t kMaxGather = 16;
+// Reads of one connection in one turn of the event loop, so that a caller that sends without pause delays the others by
+// 64 KB at most.
+constexpr int kReadsPerTurn = 4;
+// Socket, timers and objects of a connection without a request, measured as 2.5 KB and rounded up.
+constexpr std::size_t kConnectionBytes = std::size_t{ 4 } * 1024;
+// Fields of a head are held as they came and as the request that is passed on.
+constexpr std::size_t kHeadCopies = 2;
+// Bytes of a body that must arrive in each period of the receive time-out. 16 KB in 3 s (5 KB/s) is well under the rate
+// of the slowest links that callers use, and bounds the time for a body of 4 MiB to some minutes.
+constexpr std::size_t kMinBodyProgress = std::size_t{ 16 } * 1024;
+// Bytes that count as progress of a request when it is compared with others; one segment of a connection.
+constexpr std::size_t kProgressStep = 1024;
+constexpr Duration kShortRetryAfter{ 1000 };
 // A closed connection discards what the caller still sends for this long, because closing with unread bytes resets the
 // connection and the caller may lose the answer.
 constexpr Duration kLinger{ 1000 };
 constexpr Duration kCongestedRetry{ 10 };
 
+// One line a second tells of all refusals.
+constexpr Duration kRefusalLogPeriod{ 1000 };
+// Requests are given up at most this often, and then for a sixteenth of the memory.
+constexpr Duration kReliefPeriod{ 50 };
+constexpr std::size_t kReliefDivisor = 16;
+
 enum class Phase : std::uint8_t
 {
   kIdle,      ///< between requests
@@ -39,6 +58,14 @@
   kClosing    ///< the last answer is being written, then what arrives is discarded
 };
 
+/// Bytes to write; `body` bytes are reported as drained.
+struct Piece
+{
+  std::string data;
+  bool body = false;
+  std::size_t taken = 0; ///< bytes that the socket has taken
+};
+
 /// Limits of one request: those in force when its first byte was read.
 struct RequestLimits
 {
@@ -47,13 +74,11 @@
   Duration receiveTimeout{ 0 };
 };
 
-/// Bytes to write; `body` bytes are reported as drained.
-struct Piece
+TimePoint
+now()
 {
-  std::string data;
-  bool body = false;
-  std::size_t taken = 0; ///< bytes that the socket has taken
-};
+  return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
+}
 
 class Connection
   : public HttpConnection
@@ -65,6 +90,7 @@
     , mTimer(mSocket.get_executor())
     , mWriteTimer(mSocket.get_executor())
     , mShared(std::move(aShared))
+    , mCharge(mShared->account)
   {
     error_code ignored;
     ignoreError(mSocket.set_option(tcp::no_delay(true), ignored));
@@ -108,15 +134,24 @@
     close();
   }
   void finish() override;
+  std::optional<Receiving> receiving() const override;
+  void giveUp() override;
 
 private:
   void awaitRequest(Duration aTimeout);
   void beginRequest();
   void read();
-  void received(const error_code& aError, std::size_t aBytes);
+  void readable(const error_code& aError);
+  bool readOnce();
+  bool discardOnce();
+  std::size_t heldBytes() const;
+  bool admit(std::size_t aBytes);
+  void settleCharge() { mCharge.set(heldBytes()); }
+  void releaseBuffer();
+  void noteProgress();
+  bool headRead();
   void feed();
   bool parseSome();
-  void answerExpectation();
   void refuseMalformed(const error_code& aError);
   void dispatch();
   void passOn();
@@ -139,16 +174,25 @@
   boost::asio::steady_timer mTimer;
   boost::asio::steady_timer mWriteTimer;
   std::shared_ptr<HttpShared> mShared;
+  MemoryCharge mCharge;
   boost::beast::flat_buffer mBuffer; ///< bounded by what is read, not by itself
   RequestLimits mLimits;
-  std::unique_ptr<Parser> mParser;
+  std::unique_ptr<Parser> mParser; ///< of the request that is being received
+  std::size_t mHeadBytes = 0;      ///< of the request that is being received
+  std::size_t mAnnounced = 0;      ///< length of its body, if stated
+  std::size_t mPassedBytes = 0;    ///< charged for the request that was passed on
+  std::size_t mPending = 0;        ///< bytes in mOut
+  std::size_t mWindowBody = 0;     ///< body bytes at the start of the period of the receive time-out
+  std::size_t mProgressBytes = 0;  ///< at the last progress
+  TimePoint mProgressAt;
   std::deque<Piece> mOut;
   Phase mPhase = Phase::kIdle;
   router::CallerId mCaller{};
   bool mReading = false;
   bool mWriting = false;
   bool mOverloaded = false;
-  bool mExpectationSeen = false;
+  bool mStarved = false; ///< reading has stopped for lack of memory
+  bool mHeadRead = false;
   bool mCongested = false;
   bool mHeadOnly = false;  ///< the answer has no body on the wire
   bool mChunked = false;   ///< the answer is framed in chunks
@@ -162,6 +206,8 @@
 Connection::awaitRequest(Duration aTimeout)
 {
   mPhase = Phase::kIdle;
+  mPassedBytes = 0;
+  settleCharge();
   armTimer(aTimeout);
   if (mBuffer.size() > 0) {
     feed();
@@ -181,11 +227,67 @@
     static_cast<std::uint32_t>(std::min<std::size_t>(mLimits.headerBytes, std::numeric_limits<std::uint32_t>::max())));
   mParser->body_limit(mLimits.bodyBytes);
   mParser->eager(true);
-  mExpectationSeen = false;
+  mHeadRead = false;
   mHeadOnly = false;
+  mHeadBytes = 0;
+  mAnnounced = 0;
+  mWindowBody = 0;
+  mProgressBytes = 0;
+  mProgressAt = now();
   armTimer(mLimits.receiveTimeout);
 }
 
+std::optional<Receiving>
+Connection::receiving() const
+{
+  if (mPhase != Phase::kReceiving) {
+    return std::nullopt;
+  }
+  return Receiving{ 0, mCharge.bytes(), now() - mProgressAt };
+}
+
+void
+Connection::giveUp()
+{
+  if (now() - mProgressAt >= kStallTime) {
+    refuse({ 408, "request_stalled", kShortRetryAfter });
+  } else {
+    refuse({ 503, "memory_short", kShortRetryAfter });
+  }
+}
+
+std::size_t
+Connection::heldBytes() const
+{
+  auto bytes = kConnectionBytes + mBuffer.capacity() + mPending + mPassedBytes;
+  if (mParser) {
+    bytes += kHeadCopies * mHeadBytes + std::max(mAnnounced, mParser->get().body().size());
+  }
+  return bytes;
+}
+
+/// Charges the connection with aBytes, if need be after others have been given up.
+bool
+Connection::admit(std::size_t aBytes)
+{
+  const bool isSmall = aBytes <= kSmallRequestBytes;
+  const auto keepFree = isSmall ? 0 : mShared->account->reserve();
+  if (mCharge.trySet(aBytes, keepFree)) {
+    return true;
+  }
+  relieve(*mShared, *this, aBytes - mCharge.bytes(), isSmall);
+  return mCharge.trySet(aBytes, keepFree);
+}
+
+void
+Connection::releaseBuffer()
+{
+  if (mBuffer.size() == 0) {
+    mBuffer.shrink_to_fit();
+  }
+}
+
+// Waits without a buffer, so that a connection without a request holds none.
 void
 Connection::read()
 {
@@ -194,15 +296,14 @@
     return;
   }
   mReading = true;
-  mSocket.async_read_some(mBuffer.prepare(kReadBytes),
-                          [self = shared_from_this()](const error_code& aError, std::size_t aBytes) {
-                            self->mReading = false;
-                            self->received(aError, aBytes);
-                          });
+  mSocket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](const error_code& aError) {
+    self->mReading = false;
+    self->readable(aError);
+  });
 }
 
 void
-Connection::received(const error_code& aError, std::size_t aBytes)
+Connection::readable(const error_code& aError)
 {
   if (mShared->destroyed || !mSocket.is_open()) {
     return;
@@ -211,13 +312,59 @@
     close();
     return;
   }
-  mBuffer.commit(aBytes);
-  if (mPhase == Phase::kClosing) {
-    mBuffer.consume(mBuffer.size());
-  } else if (mPhase != Phase::kAnswering) {
+  int reads = 0;
+  while (reads < kReadsPerTurn && (mPhase == Phase::kClosing ? discardOnce() : readOnce())) {
+    ++reads;
+  }
+  releaseBuffer();
+  settleCharge();
+  if (!mStarved) {
+    read();
+  }
+}
+
+/// @return whether more may have arrived
+bool
+Connection::readOnce()
+{
+  if (mPhase == Phase::kAnswering && mBuffer.size() >= mShared->options.maxPipelinedBytes) {
+    return false;
+  }
+  // What is read may be held twice: as it came, until it is parsed, and in the body.
+  if (!admit(heldBytes() + 2 * kReadBytes)) {
+    if (mPhase == Phase::kAnswering) {
+      mStarved = true; // later requests wait in the operating system until this one is answered
+    } else {
+      refuse({ 503, "memory_short", kShortRetryAfter });
+    }
+    return false;
+  }
+  error_code error;
+  const auto bytes = mSocket.read_some(mBuffer.prepare(kReadBytes), error);
+  if (error == boost::asio::error::would_block) {
+    return false;
+  }
+  if (error) {
+    close();
+    return false;
+  }
+  mBuffer.commit(bytes);
+  if (mPhase != Phase::kAnswering) {
     feed();
   }
-  read();
+  return bytes == kReadBytes && mSocket.is_open();
+}
+
+bool
+Connection::discardOnce()
+{
+  std::array<char, kReadBytes> discarded{};
+  error_code error;
+  const auto bytes = mSocket.read_some(boost::asio::buffer(discarded), error);
+  if (error && error != boost::asio::error::would_block) {
+    close();
+  }
+  return !error && bytes == kReadBytes;
 }
 
 // Gives the parser what has arrived, until the request is whole.
@@ -229,14 +376,28 @@
   }
   while (mPhase == Phase::kReceiving && mBuffer.size() > 0 && !mParser->is_done() && parseSome()) {
   }
-  if (mPhase == Phase::kReceiving && mParser->is_done()) {
+  if (mPhase != Phase::kReceiving) {
+    return;
+  }
+  noteProgress();
+  if (mParser->is_done()) {
     dispatch();
-  } else if (mPhase == Phase::kReceiving && mBuffer.size() > mLimits.headerBytes) {
+  } else if (mBuffer.size() > mLimits.headerBytes) {
     // The parser waits for the end of a chunk's header or of the trailer, for which it has no limit.
     refuse({ 400, "malformed_request" });
   }
 }
 
+void
+Connection::noteProgress()
+{
+  const auto bytes = mHeadRead ? mParser->get().body().size() : mBuffer.size();
+  if (bytes >= mProgressBytes + kProgressStep) {
+    mProgressBytes = bytes;
+    mProgressAt = now();
+  }
+}
+
 bool
 Connection::parseSome()
 {
@@ -249,26 +410,42 @@
     error = http::error::header_limit;
   }
   mBuffer.consume(used);
+  mHeadBytes += mHeadRead ? 0 : used;
   if (error && error != http::error::need_more) {
     refuseMalformed(error);
     return false;
   }
-  answerExpectation();
+  if (!mHeadRead && mParser->is_header_done() && !headRead()) {
+    return false;
+  }
   return !error && used > 0;
 }
 
-void
-Connection::answerExpectation()
-{
-  if (mExpectationSeen || !mParser->is_header_done()) {
-    return;
+/// Decides from the head whether the body may come.
+/// @return false when the request was refused
+bool
+Connection::headRead()
+{
+  mHeadRead = true;
+  mProgressBytes = 0;
+  mProgressAt = now();
+  // What the parser took beyond the head is part of the body.
+  mHeadBytes -= std::min(mHeadBytes, mParser->get().body().size());
+  if (mParser->is_done()) {
+    return true;
+  }
+  const auto length = mParser->content_length();
+  mAnnounced = length ? static_cast<std::size_t>(*length) : 0;
+  if (!admit(heldBytes())) {
+    refuse({ 503, "memory_short", kShortRetryAfter });
+    return false;
   }
-  mExpectationSeen = true;
-  const auto expect = mParser->get()[http::field::expect];
-  if (boost::beast::iequals(expect, "100-continue") && !mParser->is_done()) {
+  armTimer(mLimits.receiveTimeout);
+  if (boost::beast::iequals(mParser->get()[http::field::expect], "100-continue")) {
     queue("HTTP/1.1 100 Continue\r\n\r\n", false);
     write();
   }
+  return true;
 }
 
 void
@@ -304,6 +481,12 @@
     close();
     return;
   }
+  const auto passed = kHeadCopies * mHeadBytes + mParser->get().body().size() + mShared->options.openRequestBytes;
+  if (!admit(kConnectionBytes + mBuffer.capacity() + mPending + passed)) {
+    refuse({ 503, "memory_short", kShortRetryAfter });
+    return;
+  }
+  mPassedBytes = passed;
   mPhase = Phase::kAnswering;
   mCaller = static_cast<router::CallerId>(++mShared->lastCaller);
   mShared->callers[mCaller] = shared_from_this();
@@ -322,7 +505,9 @@
     return;
   }
   mTimer.cancel();
-  mShared->events.request(takeRequest());
+  auto request = takeRequest();
+  mParser.reset();
+  mShared->events.request(std::move(request));
 }
 
 /// A close that arrived behind the request while both lay unread. The next read would tell, but only after the request
@@ -430,6 +615,7 @@
 Connection::answerDone()
 {
   leaveAnswer(false);
+  mStarved = false;
   if (!mKeepAlive || mShared->stopping) {
     mPhase = Phase::kClosing;
     queueEmpty();
@@ -441,23 +627,23 @@
 void
 Connection::refuse(const Refusal& aRefusal)
 {
-  ++mShared->refused;
+  noteRefusal(*mShared, aRefusal);
   mPhase = Phase::kClosing;
   mKeepAlive = false;
   mBuffer.consume(mBuffer.size());
-  mShared->events.log(
-    { Severity::kInfo,
-      "http_request_refused",
-      { { "server", mShared->options.name }, { "status", aRefusal.status }, { "error", aRefusal.error } } });
+  mParser.reset();
   queue(refusalText(aRefusal, mHeadOnly), false);
   write();
   armTimer(mShared->options.receiveTimeout);
+  settleCharge();
 }
 
 void
 Connection::queue(std::string aData, bool aBody)
 {
+  mPending += aData.size();
   mOut.push_back({ std::move(aData), aBody, 0 });
+  settleCharge();
 }
 
 void
@@ -503,9 +689,11 @@
     left -= taken;
     piece.taken += taken;
     if (piece.taken == piece.data.size()) {
+      mPending -= piece.data.size();
       mOut.pop_front();
     }
   }
+  settleCharge();
   if (drained > 0 && mPhase == Phase::kAnswering) {
     mShared->events.drained({ mCaller, drained });
   }
@@ -545,6 +733,12 @@
 Connection::timedOut()
 {
   if (mPhase == Phase::kReceiving) {
+    const auto body = mHeadRead ? mParser->get().body().size() : 0;
+    if (mHeadRead && body >= mWindowBody + kMinBodyProgress) {
+      mWindowBody = body;
+      armTimer(mLimits.receiveTimeout);
+      return;
+    }
     refuse({ 408, "request_timeout" });
   } else if (mPhase == Phase::kAnswering) {
     if (mCongested) {
@@ -595,8 +789,70 @@
   mPhase = Phase::kClosing;
 }
 
+void
+logRefusals(HttpShared& aShared)
+{
+  nlohmann::json counts = nlohmann::json::object();
+  for (const auto& [reason, count] : aShared.refusals) {
+    counts[reason] = count;
+  }
+  aShared.refusals.clear();
+  aShared.nextRefusalLog = now() + kRefusalLogPeriod;
+  aShared.events.log({ Severity::kInfo,
+                       "http_requests_refused",
+                       { { "server", aShared.options.name },
+                         { "counts", std::move(counts) },
+                         { "connections", aShared.open.load() },
+                         { "charged_bytes", aShared.account->used() } } });
+}
+
 } // namespace
 
+void
+noteRefusal(HttpShared& aShared, const Refusal& aRefusal)
+{
+  ++aShared.refused;
+  const bool first = aShared.refusals.empty();
+  ++aShared.refusals[std::to_string(aRefusal.status) + " " + aRefusal.error];
+  if (now() >= aShared.nextRefusalLog) {
+    logRefusals(aShared);
+  } else if (first) {
+    aShared.refusalTimer.expires_after(aShared.nextRefusalLog - now());
+    aShared.refusalTimer.async_wait([weak = aShared.weak_from_this()](const error_code& aError) {
+      const auto shared = weak.lock();
+      if (!aError && shared && !shared->destroyed && !shared->refusals.empty()) {
+        logRefusals(*shared);
+      }
+    });
+  }
+}
+
+void
+relieve(HttpShared& aShared, const HttpConnection& aFor, std::size_t aBytes, bool aForSmall)
+{
+  // A look at all connections costs too much for each read under overload.
+  if (now() < aShared.nextRelief) {
+    return;
+  }
+  aShared.nextRelief = now() + kReliefPeriod;
+  std::vector<std::shared_ptr<HttpConnection>> connections;
+  std::vector<Receiving> requests;
+  for (const auto& [key, connection] : aShared.connections) {
+    auto held = connection.lock();
+    auto request = held && key != &aFor ? held->receiving() : std::nullopt;
+    if (request) {
+      request->index = connections.size();
+      requests.push_back(*request);
+      connections.push_back(std::move(held));
+    }
+  }
+  const auto wanted = aBytes + aShared.account->ceiling() / kReliefDivisor;
+  for (const auto index : chooseEvictions(std::move(requests), wanted, aForSmall)) {
+    ++aShared.evicted;
+    connections[index]->giveUp();
+  }
+}
+
 std::shared_ptr<HttpConnection>
 makeHttpConnection(tcp::socket aSocket, std::shared_ptr<HttpShared> aShared)
 {
--- a/src/net/http_exchange.cpp
+++ b/src/net/http_exchange.cpp
@@ -19,6 +19,7 @@
 #include <limits>
 #include <optional>
 #include <string_view>
+#include <vector>
 
 namespace rhubarbarch::net {
 
@@ -142,9 +143,9 @@
   boost::asio::steady_timer mTimer;
   boost::beast::flat_buffer mBuffer;
   std::unique_ptr<Parser> mParser;
-  std::array<char, kReadBytes> mChunk{};
-  std::string mHeld;       ///< read before a pause took effect
-  bool mMayBeSent = false; ///< a write was begun and did not end with zero bytes written
+  std::vector<char> mChunk; ///< empty until the answer's body is read, since most calls wait for long
+  std::string mHeld;        ///< read before a pause took effect
+  bool mMayBeSent = false;  ///< a write was begun and did not end with zero bytes written
   int mInterimAnswers = 0;
   bool mReused = false;
   bool mAnswered = false; ///< a byte of the answer was read
@@ -328,6 +329,7 @@
     return;
   }
   armTimer(mCall.timeout, "reading the answer");
+  mChunk.resize(kReadBytes);
   auto& body = mParser->get().body();
   body.data = mChunk.data();
   body.size = mChunk.size();
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -22,6 +22,9 @@
 constexpr Duration kAcceptRetry{ 100 };
 // Connections that are accepted in one turn of the event loop; requests in progress go on in between.
 constexpr std::size_t kMaxAcceptBatch = 64;
+// Bytes that the operating system may hold unread for one connection (it doubles the number). Its own bound is 6 MB;
+// 256 KB fill a link of 400 Mbit/s with a round trip of 5 ms.
+constexpr int kReceiveBufferBytes = 128 * 1024;
 
 } // namespace
 
@@ -31,10 +34,8 @@
     : context(aContext)
     , acceptor(aContext)
     , retryTimer(aContext)
-    , shared(std::make_shared<HttpShared>())
+    , shared(std::make_shared<HttpShared>(aContext, std::move(aOptions), std::move(aEvents)))
   {
-    shared->options = std::move(aOptions);
-    shared->events = std::move(aEvents);
   }
 
   void accept()
@@ -80,7 +81,8 @@
 
   void admit(tcp::socket aSocket)
   {
-    const bool overloaded = shared->open.load() >= shared->options.maxConnections;
+    const bool overloaded =
+      shared->open.load() >= shared->options.maxConnections || shared->account->used() >= shared->account->ceiling();
     if (overloaded && shared->overloaded >= kMaxOverloaded) {
       return;
     }
@@ -127,8 +129,10 @@
   auto& acceptor = mState->acceptor;
   const bool listens =
     !error && !acceptor.open(endpoint.protocol(), error) &&
-    !acceptor.set_option(tcp::acceptor::reuse_address(true), error) && !acceptor.bind(endpoint, error) &&
-    !acceptor.listen(boost::asio::socket_base::max_listen_connections, error) && !acceptor.non_blocking(true, error);
+    !acceptor.set_option(tcp::acceptor::reuse_address(true), error) &&
+    !acceptor.set_option(boost::asio::socket_base::receive_buffer_size(kReceiveBufferBytes), error) &&
+    !acceptor.bind(endpoint, error) && !acceptor.listen(boost::asio::socket_base::max_listen_connections, error) &&
+    !acceptor.non_blocking(true, error);
   if (!listens) {
     const auto place = mState->shared->options.name + " listener " + settings::toString(listen);
     return failure(ErrorCode::kIo, place + ": " + error.message());
@@ -224,6 +228,7 @@
            { "rhubarbarch_http_answers_in_progress", labels, static_cast<double>(shared.answers.load()) },
            { "rhubarbarch_http_requests_total", labels, static_cast<double>(shared.requests.load()) },
            { "rhubarbarch_http_refused_total", labels, static_cast<double>(shared.refused.load()) },
+           { "rhubarbarch_http_evicted_total", labels, static_cast<double>(shared.evicted.load()) },
            { "rhubarbarch_http_accept_batch_max", labels, static_cast<double>(shared.acceptBatch.load()) },
            { "rhubarbarch_http_abandoned_total", labels, static_cast<double>(shared.abandoned.load()) },
            { "rhubarbarch_http_writes_total", labels, static_cast<double>(shared.writes.load()) },
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -178,6 +178,7 @@
     readUpstream(aContext, aNode, aPath, settings.upstream);
   });
   reader.optionalMs("shutdown_timeout_ms", settings.shutdownTimeout);
+  reader.optional("memory_mb", settings.memoryMb);
   reader.finish();
   checkRoles(reader, settings);
   return settings;
--- a/tests/net/http_server_test.cpp
+++ b/tests/net/http_server_test.cpp
@@ -106,14 +106,19 @@
     });
   }
 
-  /// Writes of the server to its sockets so far.
-  double writes() const
+  double metric(const char* aName) const
   {
     const auto metrics = server->metrics();
-    const auto found = std::ranges::find(metrics, "rhubarbarch_http_writes_total", &Metric::name);
+    const auto found = std::ranges::find(metrics, aName, &Metric::name);
     return found == metrics.end() ? -1 : found->value;
   }
 
+  /// Writes of the server to its sockets so far.
+  double writes() const
+  {
+    return metric("rhubarbarch_http_writes_total");
+  }
+
   std::string statusOf(const std::string& aRequest)
   {
     RawSocket caller(server->port());
@@ -207,6 +212,80 @@
                statusOf("GET / HTTP/1.1\r\n" + filler + ": a\r\n\r\n").c_str());
 }
 
+// Guards against a body that is read although the memory for it is lacking, and against a refusal without the time
+// after which to call again.
+TEST(HttpServer, refusesBodiesThatMemoryLacksBeforeTheyAreRead)
+{
+  options.account = std::make_shared<MemoryAccount>(1'000'000);
+  options.maxBodyBytes = 2'000'000;
+  start();
+  RawSocket caller(server->port());
+  caller.send("POST / HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 900000\r\n\r\n");
+  const auto refusal = caller.readAll();
+  CHECK(refusal.starts_with("HTTP/1.1 503 "));
+  CHECK(refusal.find("\r\nRetry-After: 1\r\n") != std::string::npos);
+  CHECK(refusal.find("\r\nConnection: close\r\n") != std::string::npos);
+  RawSocket other(server->port());
+  other.send("POST /b HTTP/1.1\r\nContent-Length: 500000\r\n\r\n" + std::string(500'000, 'x'));
+  answer(awaitRequest(1).caller, "fine");
+  CHECK(other.readUntil("fine").starts_with("HTTP/1.1 200 "));
+}
+
+// Guards against stalled bodies that keep others from being served.
+TEST(HttpServer, givesUpStalledBodiesWhenMemoryIsShort)
+{
+  options.account = std::make_shared<MemoryAccount>(1'000'000);
+  options.maxBodyBytes = 2'000'000;
+  options.receiveTimeout = Duration{ 60'000 };
+  start();
+  RawSocket stalled(server->port());
+  stalled.send("POST /a HTTP/1.1\r\nContent-Length: 600000\r\n\r\n" + std::string(500'000, 'x'));
+  bool served = false;
+  const auto limit = std::chrono::steady_clock::now() + kTestLimit;
+  while (!served && std::chrono::steady_clock::now() < limit) {
+    RawSocket caller(server->port());
+    caller.send("POST /b HTTP/1.1\r\nContent-Length: 500000\r\n\r\n");
+    takeTurns(10);
+    served = metric("rhubarbarch_http_evicted_total") > 0;
+  }
+  CHECK(served);
+  CHECK(stalled.readUntil("\r\n").starts_with("HTTP/1.1 408 "));
+}
+
+// Guards against a slow but steady body being refused although it makes progress.
+TEST(HttpServer, servesBodiesThatTakeLongerThanTheTimeOut)
+{
+  options.receiveTimeout = Duration{ 1000 };
+  options.maxBodyBytes = 2'000'000;
+  start();
+  RawSocket caller(server->port());
+  caller.send("POST /a HTTP/1.1\r\nContent-Length: 400000\r\n\r\n");
+  for (int part = 0; part < 10; ++part) {
+    caller.send(std::string(40'000, 'x'));
+    std::this_thread::sleep_for(std::chrono::milliseconds(150));
+  }
+  CHECK_EQUAL(400'000U, awaitRequest(1).body.size());
+}
+
+// Guards against an account that keeps the bytes of connections that have ended.
+TEST(HttpServer, returnsAllMemoryWhenConnectionsEnd)
+{
+  options.account = std::make_shared<MemoryAccount>(1'000'000);
+  start();
+  {
+    RawSocket caller(server->port());
+    caller.send("POST /a HTTP/1.1\r\nContent-Length: 900\r\n\r\n" + std::string(900, 'x'));
+    answer(awaitRequest(1).caller, std::string(5000, 'y'));
+    CHECK(caller.readUntil("yyy").starts_with("HTTP/1.1 200 "));
+    CHECK(options.account->used() > 0);
+  }
+  const auto limit = std::chrono::steady_clock::now() + kTestLimit;
+  while (options.account->used() > 0 && std::chrono::steady_clock::now() < limit) {
+    takeTurns(1);
+  }
+  CHECK_EQUAL(0U, options.account->used());
+}
+
 // Guards against malformed requests and methods without meaning here reaching the router.
 TEST(HttpServer, refusesMalformedRequests)
 {
