--- a/tests/gateway/placement_test.cpp
+++ b/tests/gateway/placement_test.cpp
@@ -9,6 +9,7 @@
 
 using namespace rhubarbarch;
 using namespace rhubarbarch::gateway;
+using upstream::PromptCache;
 
 TEST_GROUP(Placement)
 {
