Bound the tokens in doubt by one output window for each open request

A session held the largest cost of every open request, and what it held stayed in doubt when its process was killed. A request now reserves its prompt and a window of 1,024 output tokens; the rest of its largest cost is a commitment, which lowers the reported balance and ends with the session. Output is counted as spent as it is forwarded. A stream without tokens is paused. Requests that fit into a window behave as before.

--- a/include/rhubarbarch/gateway/options.h
+++ b/include/rhubarbarch/gateway/options.h
@@ -32,7 +32,8 @@
 
   // Budgets
   Duration allowanceWindow{ 500 }; ///< holds tokens for the demand of two polls; a killed gateway loses them
-  Duration maxTokenWait{ 350 };    ///< longest wait for tokens; two elections would exceed any target latency
+  Tokens outputWindow = 1024;   ///< a running request holds at most this much unspent output; most requests fit into it
+  Duration maxTokenWait{ 350 }; ///< longest wait for tokens; two elections would exceed any target latency
 
   // Calls
   double responseTimeoutFactor = 1.2;     ///< of the target latency; then a repeatable call is tried elsewhere
--- a/include/rhubarbarch/state/allowances.h
+++ b/include/rhubarbarch/state/allowances.h
@@ -11,12 +11,13 @@
 
 namespace rhubarbarch::state {
 
-/// Tokens of one plan that one gateway session may spend. All counters only grow.
+/// Tokens of one plan that one gateway session may spend. All counters but `committed` only grow.
 struct Allowance
 {
   Tokens issued = 0;
-  Tokens returned = 0; ///< returned unspent
-  Tokens spent = 0;    ///< as last reported; the session may have spent up to `issued - returned`
+  Tokens returned = 0;  ///< returned unspent
+  Tokens spent = 0;     ///< as last reported; the session may have spent up to `issued - returned`
+  Tokens committed = 0; ///< as last reported: what open requests may still cost beyond this. It ends with the session
 };
 
 /// One run of a gateway process.
@@ -58,7 +59,8 @@
   PlanId plan;
   Tokens returned = 0;
   Tokens spent = 0;
-  Tokens hold = 0; ///< raise `issued` until the session holds this many tokens, within the budget
+  Tokens hold = 0;      ///< raise `issued` until the session holds this many tokens, within the budget
+  Tokens committed = 0; ///< no permission to spend; known to a new leader before it hears the session
 };
 
 /// Command: apply a gateway's report and raise its allowances.
--- a/include/rhubarbarch/wire/gateway_messages.h
+++ b/include/rhubarbarch/wire/gateway_messages.h
@@ -15,12 +15,13 @@
 struct PlanUse
 {
   PlanId plan;
-  Tokens returned = 0; ///< of all tokens issued to this session, those given back
-  Tokens spent = 0;    ///< charged to requests that ended
-  Tokens reserved = 0; ///< by requests in progress
-  Tokens target = 0;   ///< tokens that the gateway wants to hold, `spent` and `reserved` included
-  Tokens waiting = 0;  ///< part of `target` that requests wait for now
-  Tokens issued = 0;   ///< to this session, as the gateway knows; an answer names only what is news to it
+  Tokens returned = 0;  ///< of all tokens issued to this session, those given back
+  Tokens spent = 0;     ///< charged to requests that ended
+  Tokens reserved = 0;  ///< by requests in progress
+  Tokens target = 0;    ///< tokens that the gateway wants to hold, `spent` and `reserved` included
+  Tokens waiting = 0;   ///< part of `target` that requests wait for now
+  Tokens issued = 0;    ///< to this session, as the gateway knows; an answer names only what is news to it
+  Tokens committed = 0; ///< what open requests may still cost beyond `spent` and `reserved`
 };
 
 /// A gateway's requests at one upstream.
@@ -91,8 +92,9 @@
 {
   PlanId plan;
   Tokens issued = 0;    ///< to this session, ever
-  Tokens remaining = 0; ///< of the budget, after all that gateways reported as spent or reserved
+  Tokens remaining = 0; ///< of the budget, after all that gateways reported as spent, reserved or committed
   bool recall = false;  ///< give back what no request needs: other gateways wait for tokens
+  Tokens counted = -1;  ///< of this session, in `remaining`; negative: not told, by a leader without commitments
 };
 
 /// Answer to GatewayPoll, read at a quorum-confirmed index.
--- a/src/controller/fleet_sums.cpp
+++ b/src/controller/fleet_sums.cpp
@@ -29,6 +29,7 @@
   auto& sum = aSums.plans[aPlan];
   sum.held += aPart.held - part.held;
   sum.used += aPart.used - part.used;
+  sum.committed += aPart.committed - part.committed;
   part = aPart;
 }
 
@@ -48,6 +49,7 @@
     for (const auto& [plan, part] : plans->second) {
       aSums.plans[plan].held -= part.held;
       aSums.plans[plan].used -= part.used;
+      aSums.plans[plan].committed -= part.committed;
     }
     aSums.plansBySession.erase(plans);
   }
--- a/src/controller/fleet_sums.h
+++ b/src/controller/fleet_sums.h
@@ -12,8 +12,9 @@
 /// Tokens of one plan held and used by one session or by all sessions.
 struct PlanSum
 {
-  Tokens held = 0; ///< issued and not returned
-  Tokens used = 0; ///< spent or reserved, according to the latest report that the leader has
+  Tokens held = 0;      ///< issued and not returned
+  Tokens used = 0;      ///< spent or reserved, according to the latest report that the leader has
+  Tokens committed = 0; ///< what open requests may still cost beyond `used`
 };
 
 /// Running sums over all gateway sessions. Answers to gateways use them instead of a loop over all sessions, so the
--- a/src/controller/gateways.cpp
+++ b/src/controller/gateways.cpp
@@ -47,12 +47,13 @@
 sessionPart(const Context& aContext, SessionId aSession, const state::GatewaySession& aState, const PlanId& aPlan)
 {
   const auto allowance = allowanceOf(aState, aPlan);
-  PlanSum part{ state::held(allowance), allowance.spent };
+  PlanSum part{ state::held(allowance), allowance.spent, allowance.committed };
   const auto gateway = aContext.memory.gateways.find(aSession);
   if (gateway != aContext.memory.gateways.end()) {
     const auto use = gateway->second.uses.find(aPlan);
     if (use != gateway->second.uses.end()) {
       part.used = std::max(part.used, use->second.spent + use->second.reserved);
+      part.committed = use->second.committed;
     }
   }
   return part;
@@ -132,6 +133,17 @@
          });
 }
 
+/// Tokens that a session may still be issued. What the open requests of the other sessions may cost is left to them; a
+/// session gets the tokens for its own commitments in any case.
+Tokens
+issuable(const Context& aContext, SessionId aSession, const state::GatewaySession& aState, const PlanId& aPlan)
+{
+  const auto free = unissued(aContext, aPlan);
+  const auto own = sessionPart(aContext, aSession, aState, aPlan).committed;
+  const auto others = planSum(aContext.memory.sums, aPlan).committed - own;
+  return std::max(free - others, std::min(own, free));
+}
+
 /// Changes to the replicated budgets that a gateway's polls require: returned tokens and tokens to issue.
 state::ReportAllowances
 allowanceChanges(const Context& aContext, SessionId aSession, const GatewayMemory& aGateway)
@@ -145,22 +157,24 @@
   for (const auto& [plan, use] : aGateway.uses) {
     const auto allowance = allowanceOf(found->second, plan);
     // While requests wait at other gateways, no tokens are issued in advance.
-    const auto wanted = othersWait(aContext, aSession, plan) ? use.spent + use.reserved + use.waiting : use.target;
+    const auto asked = othersWait(aContext, aSession, plan) ? use.spent + use.reserved + use.waiting : use.target;
+    const auto wanted = std::min(asked, state::held(allowance) + issuable(aContext, aSession, found->second, plan));
     const bool returns = use.returned > allowance.returned;
     const bool wants = wanted > state::held(allowance) && unissued(aContext, plan) > 0;
     if (returns || wants) {
-      report.plans.push_back({ plan, use.returned, use.spent, wanted });
+      report.plans.push_back({ plan, use.returned, use.spent, wanted, use.committed });
     }
   }
   return report;
 }
 
-/// Part of the budget that is neither spent nor reserved according to the reports that this leader has. Unused tokens
-/// that sessions hold count as remaining because the leader can recall them.
+/// Part of the budget that is neither spent nor reserved nor committed according to the reports that this leader has.
+/// Unused tokens that sessions hold count as remaining because the leader can recall them.
 Tokens
 remaining(const Context& aContext, const PlanAccess& aPlan)
 {
-  return aPlan.prepaid - closedUse(aContext, aPlan.plan) - planSum(aContext.memory.sums, aPlan.plan).used;
+  const auto sum = planSum(aContext.memory.sums, aPlan.plan);
+  return aPlan.prepaid - closedUse(aContext, aPlan.plan) - sum.used - sum.committed;
 }
 
 PlanAllowance
@@ -168,7 +182,10 @@
 {
   const auto free = unissued(aContext, aPlan.plan);
   const bool recall = free < 0 || (free == 0 && othersWait(aContext, aId, aPlan.plan));
-  return { aPlan.plan, allowanceOf(aSession, aPlan.plan).issued, remaining(aContext, aPlan), recall };
+  const auto part = sessionPart(aContext, aId, aSession, aPlan.plan);
+  return {
+    aPlan.plan, allowanceOf(aSession, aPlan.plan).issued, remaining(aContext, aPlan), recall, part.used + part.committed
+  };
 }
 
 /// @return whether the next answer to a gateway must include a plan
@@ -185,8 +202,9 @@
     return aAllowance.issued > 0;
   }
   const auto use = aGateway->uses.find(aPlan.plan);
-  return use == aGateway->uses.end() ? aAllowance.issued > 0
-                                     : use->second.issued != aAllowance.issued || use->second.waiting > 0;
+  return use == aGateway->uses.end()
+           ? aAllowance.issued > 0
+           : use->second.issued != aAllowance.issued || use->second.waiting > 0 || use->second.committed > 0;
 }
 
 std::vector<PlanAllowance>
--- a/src/gateway/attempts.cpp
+++ b/src/gateway/attempts.cpp
@@ -228,27 +228,44 @@
   sendStreamHead(aState, aRequest);
   aRequest.undelivered += aEvents.size();
   aState.actions.emplace_back(ReplyBody{ aRequest.call.caller, std::move(aEvents) });
-  if (!aRequest.paused && aRequest.undelivered > aState.options.windowBytes) {
-    aRequest.paused = true;
-    aState.actions.emplace_back(PauseCall{ aRequest.attempt->exchange, true });
+  chargeDelivered(aState, aRequest);
+}
+
+/// Forwards the complete events that the request's tokens cover, and requests further tokens before these are used up.
+/// @return false when the stream is not consistent with what was forwarded before
+bool
+feedStream(State& aState, Request& aRequest, const std::string& aData)
+{
+  auto events = aRequest.stream.feed(aData, coveredEvents(aRequest));
+  if (!aRequest.stream.consistent()) {
+    return false;
   }
+  if (!events.empty()) {
+    forwardEvents(aState, aRequest, std::move(events));
+  }
+  if (const auto tokens = missingTokens(aState, aRequest); tokens > 0) {
+    requestRefill(aState, aRequest, tokens);
+  }
+  return true;
 }
 
 void
 handleStreamData(State& aState, Request& aRequest, const std::string& aData)
 {
-  auto events = aRequest.stream.feed(aData);
-  if (!aRequest.stream.consistent()) {
+  bool consistent = feedStream(aState, aRequest, aData);
+  // Tokens may have come at once for the events held back. Each round covers at least one of them or is the last one.
+  while (consistent && aRequest.stream.heldBack() && coveredEvents(aRequest) > 0) {
+    consistent = feedStream(aState, aRequest, "");
+  }
+  if (!consistent) {
     failAttempt(aState, aRequest, "stream resumed at an unexpected event", true, true);
     return;
   }
-  if (!events.empty()) {
-    forwardEvents(aState, aRequest, std::move(events));
-  }
+  updatePause(aState, aRequest);
   if (aRequest.stream.events() - aRequest.attempt->eventsBefore >= kSoundEvents) {
     recordSoundAnswer(aState, aRequest);
   }
-  if (aRequest.stream.heldBytes() > aState.options.maxEventBytes) {
+  if (!aRequest.stream.heldBack() && aRequest.stream.heldBytes() > aState.options.maxEventBytes) {
     failAttempt(aState, aRequest, "event exceeds the size limit", true, true);
   }
 }
@@ -279,6 +296,32 @@
 
 } // namespace
 
+void
+updatePause(State& aState, Request& aRequest)
+{
+  const auto limit = aRequest.paused ? aState.options.windowBytes / 2 : aState.options.windowBytes + 1;
+  const bool pauses = aRequest.stream.heldBack() || aRequest.undelivered >= limit;
+  if (std::exchange(aRequest.paused, pauses) != pauses) {
+    aState.totals.starved += pauses && aRequest.stream.heldBack() ? 1 : 0;
+    aState.actions.emplace_back(PauseCall{ aRequest.attempt->exchange, pauses });
+  }
+}
+
+void
+continueStream(State& aState, Request& aRequest)
+{
+  requestRefill(aState, aRequest, aRequest.refill);
+  if (!aRequest.attempt || !aRequest.stream.heldBack()) {
+    return;
+  }
+  const auto exchange = aRequest.attempt->exchange;
+  const bool ended = aRequest.attempt->ended;
+  handleStreamData(aState, aRequest, "");
+  if (ended) {
+    onEnd(aState, { exchange });
+  }
+}
+
 void
 startAttempt(State& aState, Request& aRequest)
 {
@@ -441,6 +484,10 @@
   }
   const auto& head = *request->attempt->head;
   if (isForwardedAsStream(*request)) {
+    if (request->stream.heldBack()) {
+      request->attempt->ended = true;
+      return;
+    }
     if (!isWholeStream(*request)) {
       onBrokenOff(aState, *request);
       failAttempt(aState, *request, "stream ended before or within an event", true, true);
--- a/src/gateway/event_stream.cpp
+++ b/src/gateway/event_stream.cpp
@@ -61,13 +61,18 @@
 } // namespace
 
 std::string
-EventStream::feed(std::string_view aBytes)
+EventStream::feed(std::string_view aBytes, std::int64_t aMostEvents)
 {
   // The delimiter may begin in the bytes that are already buffered.
-  auto from = mHeld.size() < kCrLfCrLf.size() ? 0 : mHeld.size() - kCrLfCrLf.size() + 1;
+  auto from = mHeldBack || mHeld.size() < kCrLfCrLf.size() ? 0 : mHeld.size() - kCrLfCrLf.size() + 1;
   mHeld.append(aBytes);
+  mHeldBack = false;
   std::size_t complete = 0;
   for (auto end = eventEnd(mHeld, from); end != std::string::npos && mConsistent; end = eventEnd(mHeld, from)) {
+    if (aMostEvents-- <= 0) {
+      mHeldBack = true;
+      break;
+    }
     countEvent(std::string_view(mHeld).substr(complete, end - complete));
     if (!mConsistent) {
       break;
--- a/src/gateway/finish.cpp
+++ b/src/gateway/finish.cpp
@@ -15,18 +15,6 @@
 constexpr std::int32_t kTimedOut = 504;
 constexpr std::int32_t kUnavailable = 503;
 
-/// @return tokens that the request costs. A caller that received some output pays for its prompt and for the output
-/// forwarded to it. A caller that received nothing pays nothing, even if an upstream has read the prompt.
-Tokens
-cost(const Request& aRequest)
-{
-  if (aRequest.stream.events() == 0) {
-    return 0;
-  }
-  const auto output = aRequest.stream.events() * std::max<Tokens>(aRequest.service->engine.eventTokens, 1);
-  return aRequest.call.promptTokens + std::min(output, aRequest.call.maxOutputTokens);
-}
-
 /// @return the status to send; one that promises that the request did not run only if that is confirmed
 std::int32_t
 confirmedStatus(const Request& aRequest, std::int32_t aStatus)
@@ -54,7 +42,7 @@
         { "sends", aRequest.sends },
         { "may_have_run", aRequest.mayHaveRun },
         { "events", aRequest.stream.events() },
-        { "reserved", aRequest.reserved ? aRequest.maxCost : 0 },
+        { "reserved", aRequest.reserved ? aRequest.held : 0 },
         { "cost", aRequest.reserved ? cost(aRequest) : 0 },
         { "expected_ms", attempt ? attempt->expected.count() : 0 },
         { "total_ms", (aState.now - aRequest.arrivedAt).count() },
@@ -164,7 +152,7 @@
   const auto found = aState.requests.find(aCaller);
   auto& request = found->second;
   if (request.reserved) {
-    settle(aState.budgets.plans[request.plan], request.maxCost, cost(request));
+    release(aState, request);
   }
   aState.heldBytes -= request.call.body->size();
   aState.requests.erase(found);
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -139,6 +139,8 @@
     { "rhubarbarch_gateway_aborted_total", "", number(state.totals.aborted) },
     { "rhubarbarch_gateway_callers_gone_total", "", number(state.totals.callersDisconnected) },
     { "rhubarbarch_gateway_retries_total", "", number(state.totals.retries) },
+    { "rhubarbarch_gateway_streams_without_tokens_total", "", number(state.totals.starved) },
+    { "rhubarbarch_gateway_committed_tokens", "", number(committedTokens(state.budgets)) },
     { "rhubarbarch_gateway_quarantined_total", "", number(state.totals.quarantined) },
     { "rhubarbarch_gateway_quarantine_subjects", "", number(state.crashes.quarantined.size()) },
     { "rhubarbarch_gateway_requests", "", number(state.requests.size()) },
--- a/src/gateway/plan_budgets.cpp
+++ b/src/gateway/plan_budgets.cpp
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cmath>
 #include <iterator>
+#include <numeric>
 
 namespace rhubarbarch::gateway {
 
@@ -45,11 +46,20 @@
   aBudget.reportedReturned = aBudget.returned;
   aBudget.reportedWaiting = aBudget.waiting;
   const auto target = aBudget.spent + aBudget.reserved + window;
-  return { aPlan, aBudget.returned, aBudget.spent, aBudget.reserved, target, aBudget.waiting, aBudget.issued };
+  return { aPlan,  aBudget.returned, aBudget.spent,  aBudget.reserved,
+           target, aBudget.waiting,  aBudget.issued, aBudget.committed };
 }
 
 } // namespace
 
+Tokens
+committedTokens(const PlanBudgets& aBudgets)
+{
+  return std::accumulate(aBudgets.plans.begin(), aBudgets.plans.end(), Tokens{ 0 }, [](Tokens aSum, const auto& aItem) {
+    return aSum + aItem.second.committed;
+  });
+}
+
 void
 recordDemand(PlanBudget& aBudget, Tokens aTokens) noexcept
 {
@@ -81,6 +91,7 @@
   aBudget.remaining = aAllowance.remaining;
   aBudget.remainingKnown = true;
   aBudget.remainingAt = aNow;
+  aBudget.counted = aAllowance.counted;
   if (aAllowance.recall) {
     returnExcess(aBudget, aBudget.waiting);
   }
@@ -125,6 +136,18 @@
   return uses;
 }
 
+bool
+covers(const PlanBudget& aBudget, Tokens aTokens, TimePoint aNow) noexcept
+{
+  if (!aBudget.remainingKnown || aNow - aBudget.remainingAt >= kMaxRemainingAge) {
+    return false;
+  }
+  // A leader of the version before counts what is spent and reserved, and no commitments.
+  const auto counted = aBudget.counted < 0 ? aBudget.spent + aBudget.reserved : aBudget.counted;
+  const auto used = aBudget.spent + aBudget.reserved + aBudget.committed;
+  return aBudget.remaining - std::max<Tokens>(used - counted, 0) >= aTokens;
+}
+
 bool
 confirmedExhausted(const PlanBudget& aBudget, Tokens aTokens, TimePoint aNow) noexcept
 {
--- a/src/gateway/plan_budgets.h
+++ b/src/gateway/plan_budgets.h
@@ -16,9 +16,11 @@
   Tokens returned = 0;
   Tokens spent = 0;
   Tokens reserved = 0;
+  Tokens committed = 0; ///< what open requests may still cost beyond `spent` and `reserved`; no permission to spend
   Tokens remaining = 0; ///< of the whole budget, last reported by the leader
   bool remainingKnown = false;
   TimePoint remainingAt;
+  Tokens counted = -1;          ///< of this gateway, counted by the leader in `remaining`; negative: not told
   Tokens waiting = 0;           ///< needed by requests that are waiting now
   Tokens reportedReturned = 0;  ///< `returned` in the last poll
   Tokens reportedWaiting = 0;   ///< `waiting` in the last poll
@@ -40,6 +42,10 @@
   return aBudget.issued - aBudget.returned - aBudget.spent - aBudget.reserved;
 }
 
+/// @return the commitments of all plans
+Tokens
+committedTokens(const PlanBudgets& aBudgets);
+
 /// Counts a request's reservation as demand. Call it once per request, whether the request is served or not.
 void
 recordDemand(PlanBudget& aBudget, Tokens aTokens) noexcept;
@@ -73,6 +79,11 @@
 std::vector<PlanUse>
 reportUrgent(PlanBudgets& aBudgets, Duration aWindow, bool aLeaving);
 
+/// @return whether a recent report of the leader, less what was reserved and committed here since then, confirms that
+/// the whole budget covers a request at its largest cost
+bool
+covers(const PlanBudget& aBudget, Tokens aTokens, TimePoint aNow) noexcept;
+
 /// @return whether a recent report of the leader confirms that the whole budget has too few tokens left for a request
 bool
 confirmedExhausted(const PlanBudget& aBudget, Tokens aTokens, TimePoint aNow) noexcept;
--- a/src/gateway/requests.cpp
+++ b/src/gateway/requests.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <random>
+#include <utility>
 
 namespace rhubarbarch::gateway {
 
@@ -48,6 +49,14 @@
   return std::nullopt;
 }
 
+/// Sets the tokens that the request reserves before its first call: its prompt and one window of output, so that no
+/// more is in doubt when this process is killed.
+void
+chooseHold(const State& aState, Request& aRequest)
+{
+  aRequest.held = std::min(aRequest.maxCost, aRequest.call.promptTokens + outputWindow(aState, aRequest));
+}
+
 std::optional<RequestError>
 chooseService(State& aState, Request& aRequest)
 {
@@ -101,6 +110,22 @@
   return aRequest.waitsUntil && aRequest.route != nullptr && aRequest.needsTokens && !aRequest.reserved;
 }
 
+/// @return whether the plan's balance covers what the request may cost beyond the tokens that it reserves first
+bool
+coversLargestCost(const State& aState, const PlanBudget& aBudget, Request& aRequest)
+{
+  if (aRequest.held == aRequest.maxCost || covers(aBudget, aRequest.maxCost, aState.now)) {
+    return true;
+  }
+  // Without a leader no balance is known. The request is served if the tokens held cover it as a whole.
+  const auto answeredAt = aState.link.answeredAt.value_or(TimePoint{});
+  if (aState.now - answeredAt >= aState.options.controllerSilence && freeTokens(aBudget) >= aRequest.maxCost) {
+    aRequest.held = aRequest.maxCost;
+    return true;
+  }
+  return false;
+}
+
 /// Recomputes the tokens that waiting requests need; the next poll requests them.
 void
 countWaiting(State& aState)
@@ -110,11 +135,33 @@
   }
   for (const auto& [caller, request] : aState.requests) {
     if (waitsForTokens(request)) {
-      aState.budgets.plans[request.plan].waiting += request.maxCost;
+      aState.budgets.plans[request.plan].waiting += request.held;
+    } else if (request.refill > 0) {
+      aState.budgets.plans[request.plan].waiting += request.refill;
     }
   }
 }
 
+/// Tries again to get the tokens that streams have requested, and forwards the events that these cover.
+void
+serveStreams(State& aState)
+{
+  std::vector<CallerId> streams;
+  for (const auto& [caller, request] : aState.requests) {
+    if (request.refill > 0) {
+      streams.push_back(caller);
+    }
+  }
+  for (const auto caller : streams) {
+    if (const auto found = aState.requests.find(caller); found != aState.requests.end()) {
+      continueStream(aState, found->second);
+    }
+  }
+  if (!streams.empty()) {
+    countWaiting(aState);
+  }
+}
+
 bool
 responseOverdue(const State& aState, const Request& aRequest)
 {
@@ -142,7 +189,8 @@
   }
   setExpiry(aRequest);
   if (aRequest.needsTokens) {
-    recordDemand(aState.budgets.plans[aRequest.plan], aRequest.maxCost);
+    chooseHold(aState, aRequest);
+    recordDemand(aState.budgets.plans[aRequest.plan], aRequest.held);
   }
   return true;
 }
@@ -177,7 +225,7 @@
   }
   if (aRequest.needsTokens && !aRequest.reserved) {
     auto& budget = aState.budgets.plans[aRequest.plan];
-    if (!reserve(budget, aRequest.maxCost)) {
+    if (!coversLargestCost(aState, budget, aRequest) || !reserve(budget, aRequest.held)) {
       if (confirmedExhausted(budget, aRequest.maxCost, aState.now)) {
         log(aState,
             Severity::kInfo,
@@ -190,7 +238,8 @@
               { "issued", budget.issued },
               { "returned", budget.returned },
               { "spent", budget.spent },
-              { "reserved", budget.reserved } });
+              { "reserved", budget.reserved },
+              { "committed", budget.committed } });
         failRequest(aState, aRequest.call.caller, { 402, "budget_exhausted", {} });
         return;
       }
@@ -202,6 +251,7 @@
       return;
     }
     aRequest.reserved = true;
+    budget.committed += aRequest.maxCost - aRequest.held;
     if (aRequest.waitsUntil) {
       aRequest.waitsUntil.reset();
       countWaiting(aState);
@@ -227,6 +277,7 @@
   if (!waiting.empty()) {
     countWaiting(aState);
   }
+  serveStreams(aState);
 }
 
 void
@@ -264,6 +315,23 @@
   }
 }
 
+void
+requestRefill(State& aState, Request& aRequest, Tokens aTokens)
+{
+  auto& budget = aState.budgets.plans[aRequest.plan];
+  if (aRequest.refill == 0) {
+    recordDemand(budget, aTokens);
+  }
+  const auto taken = std::clamp<Tokens>(freeTokens(budget), 0, aTokens);
+  reserve(budget, taken);
+  budget.committed -= taken;
+  aRequest.held += taken;
+  if (std::exchange(aRequest.refill, aTokens - taken) == 0 && aRequest.refill > 0) {
+    countWaiting(aState);
+    pollSoon(aState);
+  }
+}
+
 void
 onCallerGone(State& aState, CallerId aCaller)
 {
@@ -284,9 +352,8 @@
   }
   auto& request = found->second;
   request.undelivered -= std::min(request.undelivered, aDrained.bytes);
-  if (request.paused && request.attempt && request.undelivered < aState.options.windowBytes / 2) {
-    request.paused = false;
-    aState.actions.emplace_back(PauseCall{ request.attempt->exchange, false });
+  if (request.paused && request.attempt) {
+    updatePause(aState, request);
   }
 }
 
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -39,6 +39,7 @@
   bool firstBytes = false;
   bool trial = false;                 ///< the first call after a rest of the upstream
   bool sound = false;                 ///< the answer got past its first event
+  bool ended = false;                 ///< the answer is complete, and events of it are held back
   std::int64_t eventsBefore = 0;      ///< events of the request's earlier attempts
   std::unique_ptr<UpstreamHead> head; ///< null: not received yet
 };
@@ -57,6 +58,9 @@
   Duration loopDelay{ 0 }; ///< longest time that it may have waited to be read
   TimePoint expiresAt;     ///< the caller's deadline or the route's timeout, whichever comes first
   Tokens maxCost = 0;
+  Tokens held = 0;    ///< reserved for it, `charged` included; before that, what it will reserve
+  Tokens charged = 0; ///< already counted as spent
+  Tokens refill = 0;  ///< requested for the running stream and not yet reserved
   bool reserved = false;
   std::optional<TimePoint> waitsUntil; ///< set while it waits for tokens or for the first routing table
   std::unique_ptr<Attempt> attempt;    ///< null: none in progress
@@ -107,6 +111,7 @@
   std::uint64_t callersDisconnected = 0;
   std::uint64_t retries = 0;
   std::uint64_t resumed = 0;
+  std::uint64_t starved = 0;                      ///< pauses of streams for which no tokens had arrived
   std::uint64_t quarantined = 0;                  ///< requests refused because of a quarantined subject
   std::map<std::int32_t, std::uint64_t> refusals; ///< by HTTP status
 };
@@ -246,12 +251,21 @@
 /// Fails expired requests, and retries attempts whose response is overdue where that is allowed.
 void
 tickRequests(State& aState);
+/// Reserves further tokens for a running stream; what is not free is requested from the leader.
+void
+requestRefill(State& aState, Request& aRequest, Tokens aTokens);
 /// Reserves tokens and calls an upstream; waits for tokens or refuses the request if there are too few.
 void
 advance(State& aState, Request& aRequest);
 
 // attempts.cpp
 
+/// Pauses or resumes reading the answer: the caller is slow, or the request has no tokens for further events.
+void
+updatePause(State& aState, Request& aRequest);
+/// Continues a stream that has requested tokens, with those that are free now.
+void
+continueStream(State& aState, Request& aRequest);
 /// Calls an upstream, or fails the request when none can take it.
 void
 startAttempt(State& aState, Request& aRequest);
@@ -271,6 +285,28 @@
 void
 onResponseTimeout(State& aState, Request& aRequest);
 
+// windows.cpp
+
+/// @return output tokens that the request reserves at a time: one window, or one event if that is larger
+Tokens
+outputWindow(const State& aState, const Request& aRequest);
+/// @return tokens that the request costs. A caller that received some output pays for its prompt and for the output
+/// forwarded to it. A caller that received nothing pays nothing, even if an upstream has read the prompt.
+Tokens
+cost(const Request& aRequest);
+/// @return how many further events the tokens of the request cover
+std::int64_t
+coveredEvents(const Request& aRequest);
+/// @return tokens to request now for the rest of the stream; zero: none yet
+Tokens
+missingTokens(const State& aState, const Request& aRequest);
+/// Counts the output forwarded since the last call as spent.
+void
+chargeDelivered(State& aState, Request& aRequest);
+/// Settles the request's reservation and withdraws its commitment.
+void
+release(State& aState, Request& aRequest);
+
 // finish.cpp
 
 /// Sends an error of this gateway, or aborts the answer in progress. The status states that the request did not run
--- a/src/state/allowances.cpp
+++ b/src/state/allowances.cpp
@@ -35,6 +35,7 @@
   aAllowance.returned =
     std::clamp(aReport.returned, aAllowance.returned, std::max(aAllowance.returned, aAllowance.issued));
   aAllowance.spent = std::clamp(aReport.spent, aAllowance.spent, std::max(aAllowance.spent, held(aAllowance)));
+  aAllowance.committed = std::max<Tokens>(aReport.committed, 0);
   const auto free = unissued(aState, aReport.plan, aPrepaid);
   const auto raise = std::min(aReport.hold - held(aAllowance), free);
   aAllowance.issued += std::max<Tokens>(raise, 0);
@@ -42,12 +43,12 @@
 
 } // namespace
 
-RHUBARBARCH_DEFINE_FIELDS(Allowance, issued, returned, spent)
+RHUBARBARCH_DEFINE_FIELDS(Allowance, issued, returned, spent, committed)
 RHUBARBARCH_DEFINE_FIELDS(GatewaySession, instance, boot, allowances)
 RHUBARBARCH_DEFINE_FIELDS(ClosedUsage, spent, inDoubt)
 RHUBARBARCH_DEFINE_FIELDS(Allowances, sessions, closed, endedBoots)
 RHUBARBARCH_DEFINE_FIELDS(OpenGateway, instance, boot)
-RHUBARBARCH_DEFINE_FIELDS(AllowanceReport, plan, returned, spent, hold)
+RHUBARBARCH_DEFINE_FIELDS(AllowanceReport, plan, returned, spent, hold, committed)
 RHUBARBARCH_DEFINE_FIELDS(ReportAllowances, session, plans)
 RHUBARBARCH_DEFINE_FIELDS(ReportBatch, reports)
 
--- a/src/wire/gateway_messages.cpp
+++ b/src/wire/gateway_messages.cpp
@@ -4,7 +4,7 @@
 
 namespace rhubarbarch {
 
-RHUBARBARCH_DEFINE_FIELDS(PlanUse, plan, returned, spent, reserved, target, waiting, issued)
+RHUBARBARCH_DEFINE_FIELDS(PlanUse, plan, returned, spent, reserved, target, waiting, issued, committed)
 RHUBARBARCH_DEFINE_FIELDS(UpstreamUse, id, running, prefillTokens)
 RHUBARBARCH_DEFINE_FIELDS(LimitReport, upstream, callsPerSecond, namedAgeMs, unnamedAgeMs, wanted)
 RHUBARBARCH_DEFINE_FIELDS(CallPermit, upstream, callsPerSecond, calls)
@@ -26,7 +26,7 @@
                           quarantineRevision,
                           broken,
                           subjects)
-RHUBARBARCH_DEFINE_FIELDS(PlanAllowance, plan, issued, remaining, recall)
+RHUBARBARCH_DEFINE_FIELDS(PlanAllowance, plan, issued, remaining, recall, counted)
 RHUBARBARCH_DEFINE_FIELDS(GatewayState,
                           instance,
                           boot,
--- a/tests/controller/gateways_test.cpp
+++ b/tests/controller/gateways_test.cpp
@@ -306,3 +306,31 @@
   group.run(Duration{ 1000 });
   CHECK_EQUAL(100, group.last<GatewayState>(kFirst).plans.at(0).issued);
 }
+
+// Guards against issuing tokens that open requests of another gateway may still cost, and against their commitments
+// outliving the session: only its holdings stay in doubt.
+TEST(GatewaysController, countsCommitmentsOfLiveSessions)
+{
+  put(3, 20000);
+  poll(kFirst);
+  polls[kFirst].plans = { { "gold", 0, 0, 1224, 1224, 0, 0, 14976 } };
+  const auto first = poll(kFirst);
+  CHECK_EQUAL(1224, first.plans.at(0).issued);
+  CHECK_EQUAL(3800, first.plans.at(0).remaining);
+  CHECK_EQUAL(16200, first.plans.at(0).counted);
+  poll(kSecond);
+  want(kSecond, 10000);
+  CHECK_EQUAL(3800, poll(kSecond).plans.at(0).issued);
+  polls[kFirst] = {};
+  poll(kFirst, 2);
+  CHECK_EQUAL(10000, poll(kSecond).plans.at(0).issued);
+  CHECK_EQUAL(1224, fleet.state().allowances.closed.at("gold").inDoubt);
+}
+
+// Guards against reports of gateways of the version before that no longer decode.
+TEST(GatewaysController, decodesReportsWithoutCommitments)
+{
+  const auto use = nlohmann::json::parse(R"({"plan":"gold","reserved":7})").get<PlanUse>();
+  CHECK_EQUAL(0, use.committed);
+  CHECK_EQUAL(-1, nlohmann::json::parse(R"({"plan":"gold"})").get<PlanAllowance>().counted);
+}
--- a/tests/state/allowances_test.cpp
+++ b/tests/state/allowances_test.cpp
@@ -2,6 +2,8 @@
 
 #include "seed.h"
 
+#include <nlohmann/json.hpp>
+
 #include <random>
 
 #include <CppUTest/TestHarness.h>
@@ -148,6 +150,30 @@
   }
 }
 
+// Load pattern: 40 open requests of 200 prompt and at most 16,000 output tokens, each with one window of output. Guards
+// against their commitments staying in doubt, and against commitments that outlive a snapshot or a session.
+TEST(Allowances, leavesNoCommitmentInDoubt)
+{
+  setBudget(810000);
+  const auto session = open("g1", 1);
+  const auto hold = Tokens{ 40 } * (200 + 1024);
+  const AllowanceReport large{ "gold", 0, 0, hold, Tokens{ 40 } * 16200 - hold };
+  apply(state, ReportAllowances{ session, { large } }, LogIndex{ ++index });
+  state = decode(encode(state)).value();
+  CHECK_EQUAL(large.committed, state.allowances.sessions.at(session).allowances["gold"].committed);
+  open("g1", 2);
+  CHECK_EQUAL(hold, state.allowances.closed["gold"].inDoubt);
+  CHECK_EQUAL(810000 - hold, unissuedTokens());
+}
+
+// Guards against log entries of the version before, which have no commitments, that no longer decode.
+TEST(Allowances, decodesReportsWithoutCommitments)
+{
+  const auto report = nlohmann::json::parse(R"({"plan":"gold","spent":5,"hold":9})").get<AllowanceReport>();
+  CHECK_EQUAL(9, report.hold);
+  CHECK_EQUAL(0, report.committed);
+}
+
 TEST_GROUP(RoutingState)
 {
   RoutingState state;
