Test the tokens in doubt over the simulated fleet

The stand-in fleet serves streams of a plan with a budget, counts what callers received, and starts a successor beside a process that goes on.

--- a/tests/support/gateway_fleet.h
+++ b/tests/support/gateway_fleet.h
@@ -54,6 +54,16 @@
     Duration restartTime{ 3500 };
   };
 
+  /// Requests of a plan with a budget, answered by event streams. Off by default.
+  struct Streams
+  {
+    Tokens prepaid = 0; ///< zero: off
+    Tokens prompt = 200;
+    Tokens output = 16000; ///< the most that a request may get
+    int events = 100;      ///< of each answer
+    Duration eventTime{ 130 };
+  };
+
   struct Reply
   {
     TimePoint at;
@@ -80,6 +90,33 @@
     run(Duration{ 1000 });
   }
 
+  /// From now on, callers send requests of a plan with a budget.
+  void startStreams(const Streams& aStreams)
+  {
+    streams = aStreams;
+    auto changed = table();
+    changed.version = 4;
+    changed.routes[0].isPublic = false;
+    changed.routes[0].timeoutMs = kStreamTime.count();
+    changed.plans = { { "gold", { "key" }, -1, aStreams.prepaid } };
+    controllers.operate(controller::PutRouting{ changed, "source", "streams" });
+    run(Duration{ 500 });
+  }
+
+  /// Starts a new process in place of a gateway whose old process goes on, out of reach of the controllers.
+  void supersede(std::size_t aGateway)
+  {
+    mGateways.push_back(std::move(mGateways[aGateway]));
+    mGateways.back().cut = true;
+    for (auto& call : mCalls) {
+      call.gateway = call.gateway == aGateway ? mGateways.size() - 1 : call.gateway;
+    }
+    mGateways[aGateway] = makeGateway(aGateway, ++mBoots);
+    controllers.inboxes.erase(mGateways[aGateway].address);
+  }
+
+  std::size_t openCalls(std::size_t aGateway) const { return mGateways[aGateway].calls.size(); }
+
   void addGateway() { mGateways.push_back(makeGateway(mGateways.size(), ++mBoots)); }
 
   /// Lets time pass, tick by tick.
@@ -147,6 +184,7 @@
   /// Replaces a gateway by a new process, as after a kill.
   void restartGateway(std::size_t aGateway)
   {
+    std::erase_if(mCalls, [&](const Call& aCall) { return aCall.gateway == aGateway; });
     auto& gateway = mGateways[aGateway];
     gateway = makeGateway(aGateway, ++mBoots);
     controllers.inboxes.erase(gateway.address);
@@ -206,6 +244,8 @@
   double callsPerSecond = 10;                       ///< of the callers of each gateway
   Duration serviceTime{ 100 };
   Crashing crashing;
+  Streams streams;
+  Tokens delivered = 0;            ///< output and prompts of requests that got some output
   std::vector<TimePoint> crashes;  ///< of all engines
   std::vector<LogLine> lines;      ///< of all gateways
   std::vector<TimePoint> requests; ///< of all callers
@@ -213,6 +253,8 @@
 
 private:
   static constexpr Duration kListPeriod{ 400 };
+  static constexpr Duration kStreamTime{ 15000 };
+  static constexpr Tokens kEventTokens = 3;
 
   struct Caller
   {
@@ -228,6 +270,8 @@
     bool frozen = false;
     std::map<gateway::CallerId, Caller> callers;
     std::set<gateway::ExchangeId> calls;
+    std::set<gateway::ExchangeId> paused;
+    std::set<gateway::CallerId> served; ///< got some output
   };
 
   struct Call
@@ -239,6 +283,7 @@
     bool otherInstance = false; ///< the engine that was meant has been replaced
     bool refused = false;       ///< the engine is down
     bool crashing = false;      ///< crashes the engine that begins to answer it
+    int event = 0;              ///< events of a stream that were sent
   };
 
   Gateway makeGateway(std::size_t aIndex, std::uint64_t aBoot)
@@ -318,6 +363,12 @@
       call.deadline = Duration{ 4000 };
       call.promptTokens = 700;
       call.maxOutputTokens = 10;
+      if (streams.prepaid > 0) {
+        call.key = "key";
+        call.deadline = kStreamTime;
+        call.promptTokens = streams.prompt;
+        call.maxOutputTokens = streams.output;
+      }
       const auto session = std::to_string(std::uniform_int_distribution<int>(0, 199)(mRandom));
       call.prompt = { { "s" + session, 500 }, { call.requestId, 200 } };
       if (std::bernoulli_distribution(crashing.share)(mRandom)) {
@@ -337,18 +388,40 @@
   void answerCalls()
   {
     const auto isDue = [&](const Call& aCall) {
-      return aCall.answerAt <= controllers.now && !mGateways[aCall.gateway].frozen;
+      const auto& gateway = mGateways[aCall.gateway];
+      return aCall.answerAt <= controllers.now && !gateway.frozen && !gateway.paused.contains(aCall.exchange);
     };
     std::vector<Call> due;
     std::ranges::copy_if(mCalls, std::back_inserter(due), isDue);
     std::erase_if(mCalls, isDue);
     for (const auto& call : due) {
-      if (mGateways[call.gateway].calls.erase(call.exchange) > 0) {
+      if (mGateways[call.gateway].calls.erase(call.exchange) == 0) {
+        continue;
+      }
+      if (call.event > 0) {
+        sendEvents(call);
+      } else {
         answer(call);
       }
     }
   }
 
+  /// Sends the next event of a stream and, after the last one, its end.
+  void sendEvents(Call aCall)
+  {
+    auto& gateway = mGateways[aCall.gateway];
+    gateway.calls.insert(aCall.exchange);
+    const auto id = std::to_string(++aCall.event);
+    handle(aCall.gateway, gateway::UpstreamData{ aCall.exchange, "id: " + id + "\ndata: x\n\n" });
+    if (aCall.event < streams.events) {
+      aCall.answerAt = controllers.now + streams.eventTime;
+      mCalls.push_back(aCall);
+      return;
+    }
+    gateway.calls.erase(aCall.exchange);
+    handle(aCall.gateway, gateway::UpstreamEnd{ aCall.exchange });
+  }
+
   void answer(const Call& aCall)
   {
     auto& engine = engines[aCall.engine];
@@ -386,6 +459,10 @@
       crash(aCall.engine);
       return;
     }
+    if (streams.prepaid > 0) {
+      sendEvents(aCall);
+      return;
+    }
     handle(aCall.gateway, gateway::UpstreamData{ aCall.exchange, "id: 1\ndata: x\n\n" });
     handle(aCall.gateway, gateway::UpstreamEnd{ aCall.exchange });
   }
@@ -414,6 +491,14 @@
         start(aGateway, *call);
       } else if (const auto* cancel = std::get_if<gateway::CancelCall>(&action)) {
         gateway.calls.erase(cancel->exchange);
+      } else if (const auto* pause = std::get_if<gateway::PauseCall>(&action)) {
+        if (pause->paused) {
+          gateway.paused.insert(pause->exchange);
+        } else {
+          gateway.paused.erase(pause->exchange);
+        }
+      } else if (const auto* body = std::get_if<gateway::ReplyBody>(&action); body != nullptr && streams.prepaid > 0) {
+        countDelivered(gateway, *body);
       } else if (const auto* head = std::get_if<gateway::ReplyHead>(&action)) {
         const auto caller = gateway.callers.extract(head->caller);
         const auto known = caller.empty() ? Caller{ controllers.now } : caller.mapped();
@@ -425,6 +510,17 @@
     }
   }
 
+  /// The sum is the truth that budgets are compared with: what callers got, whatever gateways report.
+  void countDelivered(Gateway& aGateway, const gateway::ReplyBody& aBody)
+  {
+    Tokens events = 0;
+    for (auto at = aBody.data.find("data:"); at != std::string::npos; at = aBody.data.find("data:", at + 1)) {
+      ++events;
+    }
+    const bool first = events > 0 && aGateway.served.insert(aBody.caller).second;
+    delivered += events * kEventTokens + (first ? streams.prompt : 0);
+  }
+
   void send(std::size_t aGateway, const Address& aTo, const Message& aMessage)
   {
     if (mGateways[aGateway].cut || aTo.role != Role::kController || controllers.cut.contains(aTo.instance)) {
