--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -147,6 +147,8 @@
     { "rhubarbarch_gateway_first_event_expected_seconds_total", "", state.totals.expectedMs / 1000 },
     { "rhubarbarch_gateway_first_event_error_seconds_total", "", state.totals.estimateErrorMs / 1000 },
     { "rhubarbarch_gateway_ignored_measurements_total", "", number(state.totals.ignoredMeasurements) },
+    { "rhubarbarch_gateway_streams_without_tokens_total", "", number(state.totals.starved) },
+    { "rhubarbarch_gateway_committed_tokens", "", number(committedTokens(state.budgets)) },
     { "rhubarbarch_gateway_quarantined_total", "", number(state.totals.quarantined) },
     { "rhubarbarch_gateway_quarantine_subjects", "", number(state.crashes.quarantined.size()) },
     { "rhubarbarch_gateway_requests", "", number(state.requests.size()) },
--- a/tests/gateway/placement_test.cpp
+++ b/tests/gateway/placement_test.cpp
@@ -13,6 +13,7 @@
 
 using namespace rhubarbarch;
 using namespace rhubarbarch::gateway;
+using upstream::PromptCache;
 
 TEST_GROUP(Placement)
 {
