--- a/benchmark/placement/main.cpp
+++ b/benchmark/placement/main.cpp
@@ -22,6 +22,7 @@
   const Service service{ "engine", "", 100, true, { 64, 600'000, 3 } };
   TimePoint now{ Duration{ 5000 } };
   std::vector<UpstreamEntry> list;
+  list.reserve(aEngines);
   for (std::size_t i = 0; i < aEngines; ++i) {
     list.push_back({ "i-" + std::to_string(100'000 + i), "engine", "10.0.0.1:80", "a", "v1", 64, 0, false });
   }
