--- a/tests/resources/platform_fleet.h
+++ b/tests/resources/platform_fleet.h
@@ -48,6 +48,7 @@
     options.listen = { "127.0.0.1", aPort };
     options.passFields = true;
     options.maxHeaderBytes = 262'144;
+    options.maxBodyBytes = std::size_t{ 8 } << 20U;
     return options;
   }
 
--- a/tests/resources/resources_test.cpp
+++ b/tests/resources/resources_test.cpp
@@ -231,6 +231,18 @@
   checkGateway();
 }
 
+// Guards against a bound that refuses a caller inside the limits on the smallest machine.
+TEST(Resources, LargestBodyOnTheSmallestMachine)
+{
+  FleetLimits limits;
+  limits.gatewayMemoryMb = 110;
+  limits.maxBodyBytes = 4 << 20;
+  start(limits);
+  const std::string body(4 * kMegabyte, 'x');
+  LONGS_EQUAL(200, callHttp(fleet->frontPort(), { "POST", "/a/x", {}, {}, body }).status);
+  checkGateway();
+}
+
 // Guards against the end of the process by a head that is longer than the limit was when its connection was opened.
 TEST(Resources, HeaderLimitRaisedWhileAConnectionIsOpen)
 {
