--- a/src/gateway/attempts.cpp
+++ b/src/gateway/attempts.cpp
@@ -347,6 +347,7 @@
   wanted.avoid = &aRequest.tried;
   wanted.target = Duration(aRequest.route->targetLatencyMs);
   wanted.dataCentre = aState.options.dataCentre;
+  wanted.protectsPauses = aRequest.index->protectsPauses;
   return wanted;
 }
 
@@ -476,11 +477,12 @@
   attempt.estimate = placed.estimate;
   attempt.measurable = placed.measurable;
   attempt.priority = aRequest.priority;
-  if (aRequest.index->refinesPriorities && placed.estimate.expectedMs > 0) {
+  const bool refines = aRequest.index->refinesPriorities && aRequest.index->protectsPauses;
+  if (refines && placed.estimate.expectedMs > 0) {
     const auto left = Duration(aRequest.route->targetLatencyMs) - (aState.now - aRequest.arrivedAt);
     auto& typical = aState.typicalSlack[aRequest.service->name];
     attempt.priority = refinePriority(aRequest.priority, placed.readingMs, left, typical);
-  } else if (aRequest.index->refinesPriorities) {
+  } else if (refines) {
     attempt.priority = 2 * aRequest.priority + 1;
   }
   attempt.eventsBefore = aRequest.stream.events();
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -135,12 +135,16 @@
   aCandidate.expected = expected;
   const auto early = static_cast<double>(aRequest.target.count()) * kEarlyFraction;
   aCandidate.cost = std::max(expected, early) + static_cast<double>(aRank) * kRankMs;
+  aCandidate.cost += reading * kMissWeight;
+  aCandidate.readingMs = reading;
+  if (!aRequest.protectsPauses) {
+    return;
+  }
   // Long prompts delay those that wait or stream beside them, so they go where they delay few.
-  aCandidate.cost += reading * (kMissWeight + kDelayPerRunning * aCandidate.load.running);
+  aCandidate.cost += reading * kDelayPerRunning * aCandidate.load.running;
   // Prompts with a near target avoid queues that would make them miss it.
   const auto late = expected + aCandidate.estimate.deviationMs - static_cast<double>(aRequest.target.count());
   aCandidate.cost += aRequest.target.count() > 0 ? std::max(late, 0.0) * kLateWeight : 0;
-  aCandidate.readingMs = reading;
 }
 
 void
--- a/src/gateway/route_index.cpp
+++ b/src/gateway/route_index.cpp
@@ -10,6 +10,19 @@
 /// Engines know priorities 0 to 9, so that up to this priority each has two levels.
 constexpr std::int32_t kLastRefined = 4;
 
+/// Longest pause between events that counts as short. With targets of 300 ms and more, reading shared parts of prompts
+/// again costs callers more than the delays that it avoids: quick scores of Cairo (600 ms) fell, those of a deployment
+/// with 200 ms rose.
+constexpr std::int64_t kShortPauseMs = 250;
+
+bool
+protectsPauses(const RoutingTable& aTable)
+{
+  return std::ranges::any_of(aTable.routes, [](const Route& aRoute) {
+    return aRoute.kind == CallKind::kStream && aRoute.targetGapMs > 0 && aRoute.targetGapMs <= kShortPauseMs;
+  });
+}
+
 bool
 refinesPriorities(const RoutingTable& aTable)
 {
@@ -43,6 +56,7 @@
   for (const auto& service : index->table.services) {
     index->services.emplace(service.name, &service);
   }
+  index->protectsPauses = protectsPauses(index->table);
   index->refinesPriorities = refinesPriorities(index->table);
   return index;
 }
--- a/src/gateway/route_index.h
+++ b/src/gateway/route_index.h
@@ -19,6 +19,7 @@
   std::unordered_map<std::string, std::vector<const Route*>> byHost; ///< longest prefix first
   std::unordered_map<std::string, const PlanAccess*> byKey;
   std::unordered_map<std::string, const Service*> services;
+  bool protectsPauses = false;    ///< a route aims at pauses so short that long prompts beside its streams break them
   bool refinesPriorities = false; ///< priorities are stated, and two levels at the engines are free for each
 };
 
--- a/tests/gateway/placement_test.cpp
+++ b/tests/gateway/placement_test.cpp
@@ -425,6 +425,16 @@
   CHECK_FALSE(makeRouteIndex(table)->refinesPriorities);
 }
 
+// Guards against reading shared parts of prompts again for the sake of pauses that no operator aims at.
+TEST(RouteIndex, protectsPausesOnlyWhereTheyAreShort)
+{
+  table.routes[0].kind = CallKind::kStream;
+  table.routes[0].targetGapMs = 600;
+  CHECK_FALSE(makeRouteIndex(table)->protectsPauses);
+  table.routes[0].targetGapMs = 200;
+  CHECK(makeRouteIndex(table)->protectsPauses);
+}
+
 // Guards against traffic to a service of weight zero.
 TEST(RouteIndex, splitsByWeight)
 {
