--- a/include/rhubarbarch/upstream/upstreams.h
+++ b/include/rhubarbarch/upstream/upstreams.h
@@ -27,6 +27,7 @@
   std::int64_t othersRunning = 0; ///< calls of all other gateways, last reported by the leader
   Tokens othersPrefillTokens = 0; ///< prompt tokens to read for those calls, last reported by the leader
   PromptCache cache;
+  double slowness = 1;  ///< engines: smoothed ratio of measured to expected times
   EngineModel model;    ///< engines: learned time to the first event, relative to the service
   TimePoint answeredAt; ///< engines: last data of a stream to this gateway
   int failures = 0;     ///< consecutive connection failures and timeouts
@@ -79,6 +80,10 @@
 void
 recordTime(Upstream& aUpstream, Duration aTaken, bool aEngine, TimePoint aNow);
 
+/// Records the time to a first event of an engine against the estimate made at placement.
+void
+recordSlowness(Upstream& aUpstream, Duration aTaken, Duration aExpected, TimePoint aNow);
+
 /// Lets recorded errors and times decay, because old measurements say little about the present. Without this, an
 /// upstream that gets no calls would never be tried again.
 void
--- a/src/gateway/attempts.cpp
+++ b/src/gateway/attempts.cpp
@@ -134,7 +134,11 @@
     return;
   }
   upstream->prefillTokens -= std::exchange(attempt.uncachedTokens, 0);
-  recordTime(*upstream, aState.now - attempt.startedAt, aRequest.service->isEngine, aState.now);
+  const auto taken = aState.now - attempt.startedAt;
+  recordTime(*upstream, taken, aRequest.service->isEngine, aState.now);
+  if (aRequest.service->isEngine) {
+    recordSlowness(*upstream, taken, attempt.expected, aState.now);
+  }
 }
 
 /// Learns from the first event of an engine. A resumed stream, a cold or full engine and a late event loop say nothing
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -11,6 +11,13 @@
 
 namespace {
 
+// Engines without the learned model. Prompt tokens that an engine reads in a millisecond; the first deployments specify
+// 38 to 50.
+constexpr double kPrefillTokensPerMs = 40;
+/// Time to the first event with no prompt to read: a few engine steps and two network round trips.
+constexpr double kBaseMs = 25;
+/// Added for each running request: it slows the engine's steps, and so the reading of prompts between them.
+constexpr double kRunningMs = 0.5;
 /// Added when all slots are in use: a request then waits for another one to end.
 constexpr double kSlotsFullMs = 400;
 /// Cost of a cache miss beyond its prefill time, as a factor of that time: the tokens evict parts of other prompts.
@@ -103,6 +110,21 @@
   return aUpstream.running + aUpstream.othersRunning;
 }
 
+/// Cost by fixed speeds. Used where no operator aims at short pauses: there the learned speeds moved more sessions away
+/// from their cached prompts and raised the median time to the first event.
+void
+costByFixedSpeeds(Candidate& aCandidate, const PlacementRequest& aRequest, std::size_t aRank, bool aFull)
+{
+  const auto& load = aCandidate.load;
+  const auto& upstream = *aCandidate.upstream;
+  const auto reading = load.uncachedTokens / kPrefillTokensPerMs;
+  auto expected = kBaseMs + load.queuedTokens / kPrefillTokensPerMs + reading + load.running * kRunningMs;
+  expected += aFull ? kSlotsFullMs : 0;
+  aCandidate.expected = (expected + static_cast<double>(upstream.entry.coldMs)) * std::max(1.0, upstream.slowness);
+  const auto early = static_cast<double>(aRequest.target.count()) * kEarlyFraction;
+  aCandidate.cost = std::max(aCandidate.expected, early) + reading * kMissWeight + static_cast<double>(aRank) * kRankMs;
+}
+
 void
 costOfEngine(Candidate& aCandidate,
              const PlacementRequest& aRequest,
@@ -114,7 +136,7 @@
   const auto& prompt = *aRequest.prompt;
   auto cached = upstream.cache.cachedTokens(prompt);
   const bool retried = aRequest.avoid != nullptr && !aRequest.avoid->empty();
-  if (aRank == 0 && !retried && prompt.size() > 1) {
+  if (aRank == 0 && (!retried || !aRequest.protectsPauses) && prompt.size() > 1) {
     // All gateways prefer this upstream for the prompt, so it has most likely cached the shared parts. Of a retried
     // request, the preferred upstream was probably the one tried before.
     Tokens shared = 0;
@@ -125,9 +147,13 @@
   const auto queued = static_cast<double>(upstream.prefillTokens + upstream.othersPrefillTokens);
   const auto running = totalRunning(upstream);
   aCandidate.load = { queued, static_cast<double>(aCandidate.uncachedTokens), static_cast<double>(running) };
+  const bool full = running >= slots(upstream, *aRequest.service);
+  if (!aRequest.protectsPauses) {
+    costByFixedSpeeds(aCandidate, aRequest, aRank, full);
+    return;
+  }
   aCandidate.estimate = estimateFirstEvent(aModel, upstream.model, aCandidate.load, aNow);
   aCandidate.estimate.expectedMs += static_cast<double>(upstream.entry.coldMs);
-  const bool full = running >= slots(upstream, *aRequest.service);
   aCandidate.estimate.expectedMs += full ? kSlotsFullMs : 0;
   aCandidate.measurable = upstream.entry.coldMs == 0 && !full;
   const auto expected = aCandidate.estimate.expectedMs;
@@ -137,9 +163,6 @@
   aCandidate.cost = std::max(expected, early) + static_cast<double>(aRank) * kRankMs;
   aCandidate.cost += reading * kMissWeight;
   aCandidate.readingMs = reading;
-  if (!aRequest.protectsPauses) {
-    return;
-  }
   // Long prompts delay those that wait or stream beside them, so they go where they delay few.
   aCandidate.cost += reading * kDelayPerRunning * aCandidate.load.running;
   // Prompts with a near target avoid queues that would make them miss it.
@@ -215,7 +238,7 @@
 chooseNearBest(std::vector<Candidate>& aFound, std::vector<Candidate>::iterator aBest, const PlacementRequest& aRequest)
 {
   const bool isPreferred = aBest == aFound.begin() && !affinityPart(*aRequest.prompt).empty();
-  if (aRequest.random == nullptr || isPreferred) {
+  if (aRequest.random == nullptr || !aRequest.protectsPauses || isPreferred) {
     return aBest;
   }
   std::vector<std::vector<Candidate>::iterator> near;
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -24,7 +24,8 @@
   const std::set<std::string>* avoid = nullptr;    ///< upstreams that were already tried; may be null
   DataCentre dataCentre;                           ///< of this gateway
   std::mt19937_64* random = nullptr;               ///< engines: chooses among near-best ones; null: always the best
-  /// Prompts go where they delay few and where their target is probably met, also if that costs reading them again.
+  /// Engines are rated by their learned times, and prompts go where they delay few and where their target is probably
+  /// met.
   bool protectsPauses = true;
   bool addsDemand = true; ///< false: the request was placed before and counts already among those that need a permit
 };
--- a/src/gateway/route_index.cpp
+++ b/src/gateway/route_index.cpp
@@ -10,9 +10,8 @@
 /// Engines know priorities 0 to 9, so that up to this priority each has two levels.
 constexpr std::int32_t kLastRefined = 4;
 
-/// Longest pause between events that counts as short. With targets of 300 ms and more, reading shared parts of prompts
-/// again costs callers more than the delays that it avoids: quick scores of Cairo (600 ms) fell, those of a deployment
-/// with 200 ms rose.
+/// Longest pause between events that counts as short. Placement by learned times raised the scores of a deployment
+/// that aims at 200 ms and lowered those of one that aims at 600 ms (docs/design/engine-model.md).
 constexpr std::int64_t kShortPauseMs = 250;
 
 bool
--- a/src/upstream/upstreams.cpp
+++ b/src/upstream/upstreams.cpp
@@ -17,6 +17,8 @@
 constexpr double kErrorWeight = 0.1;
 /// Weight of one measurement in the smoothed times of plain services.
 constexpr double kTimeWeight = 0.2;
+/// Limit on the ratio of one measurement, since a single queue or preemption does not make a server slow.
+constexpr double kLargestRatio = 10;
 /// Half-life of recorded errors and times.
 constexpr double kHalfLifeMs = 3000;
 
@@ -162,6 +164,14 @@
     aUpstream.latencyMs == 0 ? taken : aUpstream.latencyMs + kTimeWeight * (taken - aUpstream.latencyMs);
 }
 
+void
+recordSlowness(Upstream& aUpstream, Duration aTaken, Duration aExpected, TimePoint aNow)
+{
+  decay(aUpstream, aNow);
+  const auto ratio = static_cast<double>(aTaken.count()) / std::max(1.0, static_cast<double>(aExpected.count()));
+  aUpstream.slowness += kTimeWeight * (std::min(ratio, kLargestRatio) - aUpstream.slowness);
+}
+
 void
 decay(Upstream& aUpstream, TimePoint aNow)
 {
@@ -169,6 +179,7 @@
   const auto retained = std::exp2(-passed / kHalfLifeMs);
   aUpstream.decayedAt = aNow;
   aUpstream.errorRate *= retained;
+  aUpstream.slowness = 1 + (aUpstream.slowness - 1) * retained;
   aUpstream.latencyMs *= retained;
 }
 
--- a/tests/gateway/fixture.h
+++ b/tests/gateway/fixture.h
@@ -219,6 +219,7 @@
     route.services = { { aService, 1 } };
     route.timeoutMs = 4000;
     route.targetLatencyMs = 500;
+    route.targetGapMs = aKind == CallKind::kStream ? 200 : 0;
     return route;
   }
 
--- a/tests/gateway/placement_test.cpp
+++ b/tests/gateway/placement_test.cpp
@@ -144,6 +144,28 @@
   CHECK(choose(prompt(1, 1)).upstream != chosen);
 }
 
+// Load pattern: the same in a deployment that aims at long pauses, whose engines are rated by fixed speeds. Guards
+// against sending sessions to a slow upstream that has a queue, and against estimates of the learned model there.
+TEST(Placement, avoidsASlowUpstreamByFixedSpeeds)
+{
+  const auto parts = prompt(1, 1);
+  PlacementRequest request;
+  request.service = &service;
+  request.prompt = &parts;
+  request.promptTokens = 7000;
+  request.dataCentre = "a";
+  request.target = Duration{ 600 };
+  request.protectsPauses = false;
+  const auto placed = place(upstreams, request, now);
+  CHECK_EQUAL(0, placed.estimate.expectedMs);
+  placed.upstream->prefillTokens = 2000;
+  CHECK(place(upstreams, request, now).upstream == placed.upstream);
+  for (int i = 0; i < 20; ++i) {
+    recordSlowness(*placed.upstream, Duration{ 800 }, Duration{ 50 }, now);
+  }
+  CHECK(place(upstreams, request, now).upstream != placed.upstream);
+}
+
 // Load pattern: prompts with a near target beside a queue of long ones. Guards against short prompts waiting in a queue
 // that makes them miss their target.
 TEST(Placement, keepsShortPromptsOutOfQueuesTheyCannotBear)
