--- a/include/rhubarbarch/gateway/options.h
+++ b/include/rhubarbarch/gateway/options.h
@@ -32,10 +32,12 @@
 
   // Budgets
   Duration allowanceWindow{ 500 }; ///< holds tokens for the demand of two polls; a killed gateway loses them
-  Duration maxTokenWait{ 350 };    ///< longest wait for tokens; two elections would exceed any target latency
+  Tokens outputWindow = 1024;   ///< a running request holds at most this much unspent output; most requests fit into it
+  Duration maxTokenWait{ 350 }; ///< longest wait for tokens; two elections would exceed any target latency
 
   // Calls
-  double responseTimeoutFactor = 1.2;     ///< of the target latency; then a repeatable call is tried elsewhere
+  double responseTimeoutFactor = 1.2; ///< of the target latency; then a repeatable call is tried elsewhere
+  double responseDeviations = 3; ///< engines: also not before the estimate and as many deviations; 1 in 700 if normal
   Duration minResponseTimeout{ 250 };     ///< lower bound of that timeout for very short target latencies
   Duration minAttemptTime{ 60 };          ///< no further attempt starts with less time left
   std::size_t windowBytes = 262144;       ///< undelivered answer of one request, in bytes; reading pauses above it
@@ -54,6 +56,8 @@
   Duration minLoggedDelay{ 100 };  ///< a delay of the event loop from this value is logged
   Duration delayLogPeriod{ 1000 }; ///< at most one such log line per period
 
+  double linkRate = 0; ///< bytes a second that the machine's link carries in each direction; zero: unknown
+
   // Rate limits of upstreams
   Duration permitTime{ 500 };    ///< from the poll that requested a call; a few polls
   Duration maxPermitWait{ 350 }; ///< longest wait for a permit while the leader has not refused one
--- a/include/rhubarbarch/settings/settings.h
+++ b/include/rhubarbarch/settings/settings.h
@@ -70,6 +70,7 @@
   double retryRatio = 0.1;
   std::int64_t retrySlack = 0;
   Duration retryWindow{ 10'000 };
+  double linkRate = 0; ///< bytes a second that the machine's link carries; zero: unknown
 };
 
 /// Settings of the caller-facing HTTP server.
@@ -125,6 +126,7 @@
   GatewaySettings gatewaySettings;
   std::optional<Endpoint> upstreamList; ///< serves the platform's list of upstreams; gateways and controllers
   Duration shutdownTimeout{ 60'000 };   ///< for a graceful shutdown
+  std::size_t memoryMb = 0;             ///< of the process; zero: what its callers may make it hold is not bounded
 };
 
 /// Parses and checks a settings document.
--- a/include/rhubarbarch/wire/gateway_messages.h
+++ b/include/rhubarbarch/wire/gateway_messages.h
@@ -2,6 +2,7 @@
 
 #include "rhubarbarch/base/ids.h"
 #include "rhubarbarch/wire/json_fields.h"
+#include "rhubarbarch/wire/rollouts.h"
 #include "rhubarbarch/wire/routing.h"
 #include "rhubarbarch/wire/routing_delta.h"
 
@@ -15,12 +16,13 @@
 struct PlanUse
 {
   PlanId plan;
-  Tokens returned = 0; ///< of all tokens issued to this session, those given back
-  Tokens spent = 0;    ///< charged to requests that ended
-  Tokens reserved = 0; ///< by requests in progress
-  Tokens target = 0;   ///< tokens that the gateway wants to hold, `spent` and `reserved` included
-  Tokens waiting = 0;  ///< part of `target` that requests wait for now
-  Tokens issued = 0;   ///< to this session, as the gateway knows; an answer names only what is news to it
+  Tokens returned = 0;  ///< of all tokens issued to this session, those given back
+  Tokens spent = 0;     ///< charged to requests that ended
+  Tokens reserved = 0;  ///< by requests in progress
+  Tokens target = 0;    ///< tokens that the gateway wants to hold, `spent` and `reserved` included
+  Tokens waiting = 0;   ///< part of `target` that requests wait for now
+  Tokens issued = 0;    ///< to this session, as the gateway knows; an answer names only what is news to it
+  Tokens committed = 0; ///< what open requests may still cost beyond `spent` and `reserved`
 };
 
 /// A gateway's requests at one upstream.
@@ -91,8 +93,9 @@
 {
   PlanId plan;
   Tokens issued = 0;    ///< to this session, ever
-  Tokens remaining = 0; ///< of the budget, after all that gateways reported as spent or reserved
+  Tokens remaining = 0; ///< of the budget, after all that gateways reported as spent, reserved or committed
   bool recall = false;  ///< give back what no request needs: other gateways wait for tokens
+  Tokens counted = -1;  ///< of this session, in `remaining`; negative: not told, by a leader without commitments
 };
 
 /// Answer to GatewayPoll, read at a quorum-confirmed index.
@@ -121,6 +124,8 @@
   bool hasQuarantine = false;
   std::uint64_t evacuationsRevision = 0; ///< log index of the last change of `evacuated`
   std::vector<DataCentre> evacuated;     ///< data centres whose upstreams get no new work
+  std::uint64_t rolloutsRevision = 0;    ///< log index of the last change of `rollouts`
+  std::vector<RolloutRule> rollouts;     ///< the newest of each service that was ever ordered one
   std::vector<CallPermit> permits;       ///< all upstreams whose rate is limited
   std::vector<std::string> suspects;     ///< subjects of broken answers; the gateway reports what it knows of them
   std::uint64_t quarantineRevision = 0;  ///< log index of the last change of `quarantined`
--- a/src/gateway/attempts.cpp
+++ b/src/gateway/attempts.cpp
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <string_view>
 
 namespace rhubarbarch::gateway {
@@ -17,6 +18,10 @@
 constexpr std::int64_t kSoundEvents = 2;
 /// With a higher error rate, an upstream that closes a kept connection has probably failed the call.
 constexpr double kSoundErrorRate = 0.15;
+/// Time between two considerations whether a silent call goes elsewhere; each costs a placement.
+constexpr Duration kReviewPeriod{ 50 };
+/// Another upstream is clearly sooner if its estimate is below this part of the time that the silent one still needs.
+constexpr double kClearlySooner = 0.8;
 
 /// @return whether another upstream may run the request although an earlier one may have run it
 bool
@@ -96,7 +101,7 @@
   call.fields = aRequest.call.fields;
   call.body = aRequest.call.body;
   call.plan = aRequest.plan;
-  call.priority = aRequest.priority;
+  call.priority = aRequest.attempt->priority;
   call.model = aRequest.service->isEngine;
   call.deadline = aRequest.expiresAt - aState.now;
   call.lastEventId = aRequest.stream.lastId().empty() ? aRequest.call.lastEventId : aRequest.stream.lastId();
@@ -129,7 +134,44 @@
     return;
   }
   upstream->prefillTokens -= std::exchange(attempt.uncachedTokens, 0);
-  recordTime(*upstream, aState.now - attempt.startedAt, attempt.expected, aRequest.service->isEngine, aState.now);
+  const auto taken = aState.now - attempt.startedAt;
+  recordTime(*upstream, taken, aRequest.service->isEngine, aState.now);
+  if (aRequest.service->isEngine) {
+    recordSlowness(*upstream, taken, attempt.expected, aState.now);
+  }
+}
+
+/// Learns from the first event of an engine. A resumed stream, a cold or full engine and a late event loop say nothing
+/// on the engine's speed.
+void
+learnFirstEvent(State& aState, const Request& aRequest)
+{
+  const auto& attempt = *aRequest.attempt;
+  auto* upstream = findUpstream(aState, attempt.upstreamId);
+  if (upstream == nullptr || attempt.firstBytes || !attempt.measurable || attempt.eventsBefore > 0 ||
+      aState.loop.delay >= aState.options.minLoggedDelay) {
+    return;
+  }
+  const auto taken = aState.now - attempt.startedAt;
+  auto& model = aState.upstreams.models[aRequest.service->name];
+  if (!upstream::learnFirstEvent(model, upstream->model, attempt.load, taken, aState.now)) {
+    ++aState.totals.ignoredMeasurements;
+    log(aState,
+        Severity::kWarning,
+        "measurement_ignored",
+        { { "request", aRequest.call.requestId },
+          { "upstream", attempt.upstreamId },
+          { "taken_ms", taken.count() },
+          { "queued_tokens", attempt.load.queuedTokens },
+          { "uncached_tokens", attempt.load.uncachedTokens },
+          { "running", attempt.load.running } });
+    return;
+  }
+  auto& totals = aState.totals;
+  ++totals.firstEvents;
+  totals.firstEventMs += static_cast<double>(taken.count());
+  totals.expectedMs += attempt.estimate.expectedMs;
+  totals.estimateErrorMs += std::abs(static_cast<double>(taken.count()) - attempt.estimate.expectedMs);
 }
 
 /// Records that the current answer has got past its first event, or is complete.
@@ -224,31 +266,53 @@
 void
 forwardEvents(State& aState, Request& aRequest, std::string aEvents)
 {
+  learnFirstEvent(aState, aRequest);
   recordFirstBytes(aState, aRequest);
+  if (auto* upstream = findUpstream(aState, aRequest.attempt->upstreamId)) {
+    upstream->answeredAt = aState.now;
+  }
   sendStreamHead(aState, aRequest);
   aRequest.undelivered += aEvents.size();
+  recordSent(aState.shortage, aEvents.size(), aState.now);
   aState.actions.emplace_back(ReplyBody{ aRequest.call.caller, std::move(aEvents) });
-  if (!aRequest.paused && aRequest.undelivered > aState.options.windowBytes) {
-    aRequest.paused = true;
-    aState.actions.emplace_back(PauseCall{ aRequest.attempt->exchange, true });
+  chargeDelivered(aState, aRequest);
+}
+
+/// Forwards the complete events that the request's tokens cover, and requests further tokens before these are used up.
+/// @return false when the stream is not consistent with what was forwarded before
+bool
+feedStream(State& aState, Request& aRequest, const std::string& aData)
+{
+  auto events = aRequest.stream.feed(aData, coveredEvents(aRequest));
+  if (!aRequest.stream.consistent()) {
+    return false;
+  }
+  if (!events.empty()) {
+    forwardEvents(aState, aRequest, std::move(events));
   }
+  if (const auto tokens = missingTokens(aState, aRequest); tokens > 0) {
+    requestRefill(aState, aRequest, tokens);
+  }
+  return true;
 }
 
 void
 handleStreamData(State& aState, Request& aRequest, const std::string& aData)
 {
-  auto events = aRequest.stream.feed(aData);
-  if (!aRequest.stream.consistent()) {
+  bool consistent = feedStream(aState, aRequest, aData);
+  // Tokens may have come at once for the events held back. Each round covers at least one of them or is the last one.
+  while (consistent && aRequest.stream.heldBack() && coveredEvents(aRequest) > 0) {
+    consistent = feedStream(aState, aRequest, "");
+  }
+  if (!consistent) {
     failAttempt(aState, aRequest, "stream resumed at an unexpected event", true, true);
     return;
   }
-  if (!events.empty()) {
-    forwardEvents(aState, aRequest, std::move(events));
-  }
+  updatePause(aState, aRequest);
   if (aRequest.stream.events() - aRequest.attempt->eventsBefore >= kSoundEvents) {
     recordSoundAnswer(aState, aRequest);
   }
-  if (aRequest.stream.heldBytes() > aState.options.maxEventBytes) {
+  if (!aRequest.stream.heldBack() && aRequest.stream.heldBytes() > aState.options.maxEventBytes) {
     failAttempt(aState, aRequest, "event exceeds the size limit", true, true);
   }
 }
@@ -277,8 +341,113 @@
   return aHead.status >= kFirstServerError && repeatable(aRequest);
 }
 
+PlacementRequest
+placementRequest(const State& aState, const Request& aRequest)
+{
+  PlacementRequest wanted;
+  wanted.service = aRequest.service;
+  wanted.prompt = aRequest.call.prompt.empty() ? nullptr : &aRequest.call.prompt;
+  wanted.promptTokens = aRequest.call.promptTokens;
+  wanted.avoid = &aRequest.tried;
+  wanted.target = Duration(aRequest.route->targetLatencyMs);
+  wanted.dataCentre = aState.options.dataCentre;
+  wanted.protectsPauses = aRequest.index->protectsPauses;
+  return wanted;
+}
+
+/// @return whether another engine will probably answer in time and clearly sooner than the silent one. One that
+/// answers other calls is probably reading the prompt; then the other one must not have to read more.
+bool
+worthMoving(const State& aState, const Request& aRequest, const Placement& aOther)
+{
+  if (aOther.upstream == nullptr) {
+    return false;
+  }
+  const auto& attempt = *aRequest.attempt;
+  const auto waited = static_cast<double>((aState.now - attempt.startedAt).count());
+  // The longer a call is overdue, the longer it probably still takes.
+  const auto rest = std::max(attempt.estimate.deviationMs, waited - attempt.estimate.expectedMs);
+  const auto left = static_cast<double>((aRequest.expiresAt - aState.now).count());
+  const auto current = aState.upstreams.byId.find(attempt.upstreamId);
+  const bool reads = current != aState.upstreams.byId.end() && current->second.answeredAt > attempt.startedAt;
+  const auto& other = aOther.estimate;
+  return other.expectedMs + other.deviationMs < left && other.expectedMs < kClearlySooner * rest &&
+         !(reads && aOther.uncachedTokens > attempt.uncachedTokens);
+}
+
+void
+logSilence(State& aState, const Request& aRequest, const Placement& aOther, bool aMoves)
+{
+  const auto& attempt = *aRequest.attempt;
+  log(aState,
+      Severity::kInfo,
+      aMoves ? "silent_call_moved" : "silent_call_kept",
+      { { "request", aRequest.call.requestId },
+        { "upstream", attempt.upstreamId },
+        { "waited_ms", (aState.now - attempt.startedAt).count() },
+        { "estimate_ms", std::llround(attempt.estimate.expectedMs) },
+        { "deviation_ms", std::llround(attempt.estimate.deviationMs) },
+        { "other", aOther.upstream == nullptr ? "" : aOther.upstream->entry.id },
+        { "other_ms", std::llround(aOther.estimate.expectedMs) },
+        { "uncached_tokens", attempt.uncachedTokens },
+        { "other_uncached_tokens", aOther.uncachedTokens } });
+}
+
+/// Decides whether a silent call to an engine goes elsewhere. Learns from the silence when it does.
+bool
+leaveSilentEngine(State& aState, Request& aRequest)
+{
+  auto& attempt = *aRequest.attempt;
+  attempt.reviewAt = aState.now + kReviewPeriod;
+  auto wanted = placementRequest(aState, aRequest);
+  wanted.addsDemand = false;
+  const auto other = place(aState.upstreams, wanted, aState.now);
+  const bool moves = worthMoving(aState, aRequest, other) && mayRetry(aState, aRequest, true);
+  if (!moves) {
+    if (!std::exchange(attempt.keptLogged, true)) {
+      ++aState.totals.silentKept;
+      logSilence(aState, aRequest, other, false);
+    }
+    return false;
+  }
+  ++aState.totals.silentMoved;
+  logSilence(aState, aRequest, other, true);
+  if (auto* upstream = findUpstream(aState, attempt.upstreamId); upstream != nullptr && attempt.measurable) {
+    const auto waited = aState.now - attempt.startedAt;
+    upstream::learnSilence(
+      aState.upstreams.models[aRequest.service->name], upstream->model, attempt.load, waited, aState.now);
+  }
+  return true;
+}
+
 } // namespace
 
+void
+updatePause(State& aState, Request& aRequest)
+{
+  const auto limit = aRequest.paused ? aState.options.windowBytes / 2 : aState.options.windowBytes + 1;
+  const bool pauses = aRequest.stream.heldBack() || aRequest.undelivered >= limit;
+  if (std::exchange(aRequest.paused, pauses) != pauses) {
+    aState.totals.starved += pauses && aRequest.stream.heldBack() ? 1 : 0;
+    aState.actions.emplace_back(PauseCall{ aRequest.attempt->exchange, pauses });
+  }
+}
+
+void
+continueStream(State& aState, Request& aRequest)
+{
+  requestRefill(aState, aRequest, aRequest.refill);
+  if (!aRequest.attempt || !aRequest.stream.heldBack()) {
+    return;
+  }
+  const auto exchange = aRequest.attempt->exchange;
+  const bool ended = aRequest.attempt->ended;
+  handleStreamData(aState, aRequest, "");
+  if (ended) {
+    onEnd(aState, { exchange });
+  }
+}
+
 void
 startAttempt(State& aState, Request& aRequest)
 {
@@ -287,14 +456,9 @@
     failRequest(aState, aRequest.call.caller, *refusal);
     return;
   }
-  PlacementRequest wanted;
-  wanted.service = aRequest.service;
-  wanted.prompt = aRequest.call.prompt.empty() ? nullptr : &aRequest.call.prompt;
-  wanted.promptTokens = aRequest.call.promptTokens;
-  wanted.avoid = &aRequest.tried;
-  wanted.target = Duration(aRequest.route->targetLatencyMs);
-  wanted.dataCentre = aState.options.dataCentre;
+  auto wanted = placementRequest(aState, aRequest);
   wanted.addsDemand = !aRequest.waitsUntil;
+  wanted.random = &aState.random;
   const auto placed = place(aState.upstreams, wanted, aState.now);
   if (placed.upstream == nullptr && placed.limited) {
     waitForPermit(aState, aRequest);
@@ -313,6 +477,18 @@
   attempt.startedAt = aState.now;
   attempt.expected = placed.expected;
   attempt.uncachedTokens = placed.uncachedTokens;
+  attempt.load = placed.load;
+  attempt.estimate = placed.estimate;
+  attempt.measurable = placed.measurable;
+  attempt.priority = aRequest.priority;
+  const bool refines = aRequest.index->refinesPriorities && aRequest.index->protectsPauses;
+  if (refines && placed.estimate.expectedMs > 0) {
+    const auto left = Duration(aRequest.route->targetLatencyMs) - (aState.now - aRequest.arrivedAt);
+    auto& typical = aState.typicalSlack[aRequest.service->name];
+    attempt.priority = refinePriority(aRequest.priority, placed.readingMs, left, typical);
+  } else if (refines) {
+    attempt.priority = 2 * aRequest.priority + 1;
+  }
   attempt.eventsBefore = aRequest.stream.events();
   attempt.trial = beginTrial(upstream.rest);
   ++upstream.running;
@@ -332,6 +508,7 @@
           { "sends", aRequest.sends },
           { "permits_left", upstream.limit.permits.size() } });
   }
+  recordSent(aState.shortage, aRequest.call.body->size(), aState.now);
   aState.actions.emplace_back(makeCall(aState, aRequest, upstream));
 }
 
@@ -370,6 +547,9 @@
     return;
   }
   auto* upstream = findUpstream(aState, request->attempt->upstreamId);
+  if (upstream != nullptr) {
+    recordUpstreamContact(aState, *upstream, false);
+  }
   if (aHead.otherInstance) {
     if (upstream != nullptr) {
       upstream->listed = false; // another instance now has its address
@@ -441,6 +621,10 @@
   }
   const auto& head = *request->attempt->head;
   if (isForwardedAsStream(*request)) {
+    if (request->stream.heldBack()) {
+      request->attempt->ended = true;
+      return;
+    }
     if (!isWholeStream(*request)) {
       onBrokenOff(aState, *request);
       failAttempt(aState, *request, "stream ended before or within an event", true, true);
@@ -476,7 +660,22 @@
   if (idleClose && resendCall(aState, *request)) {
     return;
   }
+  const bool connectTimedOut = !aError.sent && aError.silent;
+  bool linkShort = false;
   if (auto* upstream = findUpstream(aState, request->attempt->upstreamId)) {
+    if (connectTimedOut) {
+      recordUpstreamContact(aState, *upstream, true);
+      linkShort = connectionsFail(aState.shortage, aState.now);
+    }
+    if (linkShort) {
+      // The time-out says nothing about the upstream, and a repeat would add load to the link.
+      logAttemptFailed(aState, *request, aError.detail, false);
+      --request->mayHaveRun;
+      --request->sends;
+      endAttempt(aState, *request, true);
+      failRequest(aState, request->call.caller, linkError());
+      return;
+    }
     if (!aError.sent || aError.silent) {
       recordUnreachable(*upstream, aState.now);
     } else {
@@ -493,8 +692,11 @@
 onResponseTimeout(State& aState, Request& aRequest)
 {
   if (!repeatable(aRequest) || aRequest.mayHaveRun >= aRequest.route->maxAttempts ||
-      !hasCandidate(aState.upstreams, *aRequest.service, aRequest.tried, aState.now) ||
-      !mayRetry(aState, aRequest, true)) {
+      !hasCandidate(aState.upstreams, *aRequest.service, aRequest.tried, aState.now)) {
+    return;
+  }
+  const bool learned = aRequest.attempt->estimate.expectedMs > 0;
+  if (!(learned ? leaveSilentEngine(aState, aRequest) : mayRetry(aState, aRequest, true))) {
     return;
   }
   logAttemptFailed(aState, aRequest, "silent", true);
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -105,6 +105,7 @@
   mState->boot = aBoot;
   mState->random = aRandom;
   mState->link.controllers = aOptions.controllers;
+  mState->shortage.linkRate = aOptions.linkRate;
   mState->options = std::move(aOptions);
 }
 
@@ -139,9 +140,21 @@
     { "rhubarbarch_gateway_aborted_total", "", number(state.totals.aborted) },
     { "rhubarbarch_gateway_callers_gone_total", "", number(state.totals.callersDisconnected) },
     { "rhubarbarch_gateway_retries_total", "", number(state.totals.retries) },
+    { "rhubarbarch_gateway_silent_moved_total", "", number(state.totals.silentMoved) },
+    { "rhubarbarch_gateway_silent_kept_total", "", number(state.totals.silentKept) },
+    { "rhubarbarch_gateway_first_events_total", "", number(state.totals.firstEvents) },
+    { "rhubarbarch_gateway_first_event_seconds_total", "", state.totals.firstEventMs / 1000 },
+    { "rhubarbarch_gateway_first_event_expected_seconds_total", "", state.totals.expectedMs / 1000 },
+    { "rhubarbarch_gateway_first_event_error_seconds_total", "", state.totals.estimateErrorMs / 1000 },
+    { "rhubarbarch_gateway_ignored_measurements_total", "", number(state.totals.ignoredMeasurements) },
+    { "rhubarbarch_gateway_streams_without_tokens_total", "", number(state.totals.starved) },
+    { "rhubarbarch_gateway_committed_tokens", "", number(committedTokens(state.budgets)) },
     { "rhubarbarch_gateway_quarantined_total", "", number(state.totals.quarantined) },
     { "rhubarbarch_gateway_quarantine_subjects", "", number(state.crashes.quarantined.size()) },
     { "rhubarbarch_gateway_requests", "", number(state.requests.size()) },
+    { "rhubarbarch_gateway_link_refused_total", "", number(state.shortage.refused) },
+    { "rhubarbarch_gateway_link_connect_timeouts_total", "", number(state.shortage.timeouts) },
+    { "rhubarbarch_gateway_link_queued_bytes", "", state.shortage.queuedBytes },
     { "rhubarbarch_gateway_held_bytes", "", number(state.heldBytes) },
     { "rhubarbarch_gateway_upstreams", "", number(state.upstreams.byId.size()) },
     { "rhubarbarch_gateway_routing_version", "", number(state.index ? state.index->table.version : 0) }
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -11,7 +11,8 @@
 
 namespace {
 
-/// Prompt tokens that an engine reads in a millisecond; the deployments specify 38 to 50.
+// Engines without the learned model. Prompt tokens that an engine reads in a millisecond; the first deployments specify
+// 38 to 50.
 constexpr double kPrefillTokensPerMs = 40;
 /// Time to the first event with no prompt to read: a few engine steps and two network round trips.
 constexpr double kBaseMs = 25;
@@ -21,6 +22,11 @@
 constexpr double kSlotsFullMs = 400;
 /// Cost of a cache miss beyond its prefill time, as a factor of that time: the tokens evict parts of other prompts.
 constexpr double kMissWeight = 1.5;
+/// Part of a prompt's reading time that each running request beside it loses: its prompt waits or its tokens slow down.
+/// Engines read prompts in chunks between the tokens of others, so the loss is spread over many steps. Not measured.
+constexpr double kDelayPerRunning = 0.02;
+/// Cost of a millisecond beyond the target, the deviation of the estimate included: a late answer earns little.
+constexpr double kLateWeight = 2;
 /// Fraction of the target latency below which a faster answer has no benefit; the rest covers estimation errors.
 constexpr double kEarlyFraction = 0.5;
 /// Added per rank in a prompt's rendezvous order, so that equal costs follow that order.
@@ -34,6 +40,13 @@
 constexpr double kErrorMargin = 0.15;
 constexpr double kErrorMs = 3000;
 
+/// Engines within this cost of the best are near-best: about the error of the loads between two polls.
+constexpr double kNearBestMs = 5;
+/// A target that is missed already counts as this near.
+constexpr double kLeastLeftMs = 10;
+/// Weight of one request in the typical product of reading time and slack: a memory of some 50 requests.
+constexpr double kTypicalWeight = 0.02;
+
 std::uint64_t
 mix(std::uint64_t aValue)
 {
@@ -69,6 +82,10 @@
   std::uint64_t weight = 0; ///< rendezvous hash
   double cost = 0;
   double expected = 0;
+  upstream::EngineLoad load;
+  upstream::TimeEstimate estimate;
+  bool measurable = false;
+  double readingMs = 0;
   Tokens uncachedTokens = 0;
   bool avoided = false;
   bool permitted = true; ///< no rate limit forbids a call now
@@ -93,14 +110,35 @@
   return aUpstream.running + aUpstream.othersRunning;
 }
 
+/// Cost by fixed speeds. Used where no operator aims at short pauses: there the learned speeds moved more sessions away
+/// from their cached prompts and raised the median time to the first event.
+void
+costByFixedSpeeds(Candidate& aCandidate, const PlacementRequest& aRequest, std::size_t aRank, bool aFull)
+{
+  const auto& load = aCandidate.load;
+  const auto& upstream = *aCandidate.upstream;
+  const auto reading = load.uncachedTokens / kPrefillTokensPerMs;
+  auto expected = kBaseMs + load.queuedTokens / kPrefillTokensPerMs + reading + load.running * kRunningMs;
+  expected += aFull ? kSlotsFullMs : 0;
+  aCandidate.expected = (expected + static_cast<double>(upstream.entry.coldMs)) * std::max(1.0, upstream.slowness);
+  const auto early = static_cast<double>(aRequest.target.count()) * kEarlyFraction;
+  aCandidate.cost = std::max(aCandidate.expected, early) + reading * kMissWeight + static_cast<double>(aRank) * kRankMs;
+}
+
 void
-costOfEngine(Candidate& aCandidate, const PlacementRequest& aRequest, std::size_t aRank)
+costOfEngine(Candidate& aCandidate,
+             const PlacementRequest& aRequest,
+             const upstream::ServiceModel& aModel,
+             std::size_t aRank,
+             TimePoint aNow)
 {
   const auto& upstream = *aCandidate.upstream;
   const auto& prompt = *aRequest.prompt;
   auto cached = upstream.cache.cachedTokens(prompt);
-  if (aRank == 0 && prompt.size() > 1) {
-    // All gateways prefer this upstream for the prompt, so it has most likely cached the shared parts.
+  const bool retried = aRequest.avoid != nullptr && !aRequest.avoid->empty();
+  if (aRank == 0 && (!retried || !aRequest.protectsPauses) && prompt.size() > 1) {
+    // All gateways prefer this upstream for the prompt, so it has most likely cached the shared parts. Of a retried
+    // request, the preferred upstream was probably the one tried before.
     Tokens shared = 0;
     std::for_each(prompt.begin(), prompt.end() - 1, [&](const PromptPart& aPart) { shared += aPart.tokens; });
     cached = std::max(cached, shared);
@@ -108,15 +146,28 @@
   aCandidate.uncachedTokens = std::max<Tokens>(aRequest.promptTokens - cached, 0);
   const auto queued = static_cast<double>(upstream.prefillTokens + upstream.othersPrefillTokens);
   const auto running = totalRunning(upstream);
-  const auto reading = static_cast<double>(aCandidate.uncachedTokens) / kPrefillTokensPerMs;
-  auto expected = kBaseMs + queued / kPrefillTokensPerMs + reading + static_cast<double>(running) * kRunningMs;
-  if (running >= slots(upstream, *aRequest.service)) {
-    expected += kSlotsFullMs;
+  aCandidate.load = { queued, static_cast<double>(aCandidate.uncachedTokens), static_cast<double>(running) };
+  const bool full = running >= slots(upstream, *aRequest.service);
+  if (!aRequest.protectsPauses) {
+    costByFixedSpeeds(aCandidate, aRequest, aRank, full);
+    return;
   }
-  expected = (expected + static_cast<double>(upstream.entry.coldMs)) * std::max(1.0, upstream.slowness);
+  aCandidate.estimate = estimateFirstEvent(aModel, upstream.model, aCandidate.load, aNow);
+  aCandidate.estimate.expectedMs += static_cast<double>(upstream.entry.coldMs);
+  aCandidate.estimate.expectedMs += full ? kSlotsFullMs : 0;
+  aCandidate.measurable = upstream.entry.coldMs == 0 && !full;
+  const auto expected = aCandidate.estimate.expectedMs;
+  const auto reading = readingMs(aModel, upstream.model, aCandidate.load.uncachedTokens, aNow);
   aCandidate.expected = expected;
   const auto early = static_cast<double>(aRequest.target.count()) * kEarlyFraction;
-  aCandidate.cost = std::max(expected, early) + reading * kMissWeight + static_cast<double>(aRank) * kRankMs;
+  aCandidate.cost = std::max(expected, early) + static_cast<double>(aRank) * kRankMs;
+  aCandidate.cost += reading * kMissWeight;
+  aCandidate.readingMs = reading;
+  // Long prompts delay those that wait or stream beside them, so they go where they delay few.
+  aCandidate.cost += reading * kDelayPerRunning * aCandidate.load.running;
+  // Prompts with a near target avoid queues that would make them miss it.
+  const auto late = expected + aCandidate.estimate.deviationMs - static_cast<double>(aRequest.target.count());
+  aCandidate.cost += aRequest.target.count() > 0 ? std::max(late, 0.0) * kLateWeight : 0;
 }
 
 void
@@ -179,6 +230,32 @@
   recordDemand(best->upstream->limit, aNow);
 }
 
+/// Draws two of the engines that are nearly as good as the best and returns the better one, since many gateways see the
+/// same loads and would all choose the best. The engine that a session prefers is kept, and no engine is taken that has
+/// to read more.
+/// @param aFound in rendezvous order
+std::vector<Candidate>::iterator
+chooseNearBest(std::vector<Candidate>& aFound, std::vector<Candidate>::iterator aBest, const PlacementRequest& aRequest)
+{
+  const bool isPreferred = aBest == aFound.begin() && !affinityPart(*aRequest.prompt).empty();
+  if (aRequest.random == nullptr || !aRequest.protectsPauses || isPreferred) {
+    return aBest;
+  }
+  std::vector<std::vector<Candidate>::iterator> near;
+  for (auto each = aFound.begin(); each != aFound.end(); ++each) {
+    if (each->permitted && each->cost <= aBest->cost + kNearBestMs && each->uncachedTokens <= aBest->uncachedTokens) {
+      near.push_back(each);
+    }
+  }
+  if (near.size() < 2) {
+    return aBest;
+  }
+  std::uniform_int_distribution<std::size_t> draw(0, near.size() - 1);
+  const auto first = near[draw(*aRequest.random)];
+  const auto second = near[draw(*aRequest.random)];
+  return second->cost < first->cost ? second : first;
+}
+
 } // namespace
 
 Placement
@@ -190,10 +267,11 @@
   }
   const auto bestRate =
     std::ranges::min(found, {}, [](const Candidate& aEach) { return aEach.upstream->errorRate; }).upstream->errorRate;
+  const auto& model = aUpstreams.models[aRequest.service->name];
   for (std::size_t rank = 0; rank < found.size(); ++rank) {
     auto& candidate = found[rank];
     if (aRequest.service->isEngine && aRequest.prompt != nullptr) {
-      costOfEngine(candidate, aRequest, rank);
+      costOfEngine(candidate, aRequest, model, rank, aNow);
     } else {
       costOfPlain(candidate, aRequest);
     }
@@ -208,9 +286,29 @@
     none.limited = true;
     return none;
   }
-  const auto best =
+  auto best =
     std::ranges::min_element(found, {}, [](const Candidate& aEach) { return std::pair(!aEach.permitted, aEach.cost); });
-  return { best->upstream, Duration(std::llround(best->expected)), best->uncachedTokens };
+  if (aRequest.service->isEngine && aRequest.prompt != nullptr) {
+    best = chooseNearBest(found, best, aRequest);
+  }
+  Placement placed;
+  placed.upstream = best->upstream;
+  placed.expected = Duration(std::llround(best->expected));
+  placed.uncachedTokens = best->uncachedTokens;
+  placed.load = best->load;
+  placed.readingMs = best->readingMs;
+  placed.estimate = best->estimate;
+  placed.measurable = best->measurable;
+  return placed;
+}
+
+std::int32_t
+refinePriority(std::int32_t aPriority, double aReadingMs, Duration aLeft, double& aTypical)
+{
+  const auto left = std::max(static_cast<double>(aLeft.count()), kLeastLeftMs);
+  const auto product = std::log1p(aReadingMs * left);
+  aTypical = aTypical == 0 ? product : aTypical + kTypicalWeight * (product - aTypical);
+  return 2 * aPriority + (product > aTypical ? 1 : 0);
 }
 
 bool
--- a/src/gateway/requests.cpp
+++ b/src/gateway/requests.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <random>
+#include <utility>
 
 namespace rhubarbarch::gateway {
 
@@ -48,6 +49,14 @@
   return std::nullopt;
 }
 
+/// Sets the tokens that the request reserves before its first call: its prompt and one window of output, so that no
+/// more is in doubt when this process is killed.
+void
+chooseHold(const State& aState, Request& aRequest)
+{
+  aRequest.held = std::min(aRequest.maxCost, aRequest.call.promptTokens + outputWindow(aState, aRequest));
+}
+
 std::optional<RequestError>
 chooseService(State& aState, Request& aRequest)
 {
@@ -74,11 +83,15 @@
 }
 
 std::optional<RequestError>
-checkCapacity(const State& aState, const Request& aRequest)
+checkCapacity(State& aState, const Request& aRequest)
 {
   if (overloaded(aState)) {
     return RequestError{ 503, "event_loop_late", kElsewhereRetryAfter };
   }
+  if (!linkCarries(aState.shortage, aRequest.call.body->size(), aState.now)) {
+    ++aState.shortage.refused;
+    return linkError();
+  }
   const auto bytes = aState.heldBytes + aRequest.call.body->size();
   if (aState.requests.size() >= aState.options.maxRequests || bytes > aState.options.maxHeldBytes) {
     return RequestError{ 503, "overloaded", kOverloadRetryAfter };
@@ -101,6 +114,22 @@
   return aRequest.waitsUntil && aRequest.route != nullptr && aRequest.needsTokens && !aRequest.reserved;
 }
 
+/// @return whether the plan's balance covers what the request may cost beyond the tokens that it reserves first
+bool
+coversLargestCost(const State& aState, const PlanBudget& aBudget, Request& aRequest)
+{
+  if (aRequest.held == aRequest.maxCost || covers(aBudget, aRequest.maxCost, aState.now)) {
+    return true;
+  }
+  // Without a leader no balance is known. The request is served if the tokens held cover it as a whole.
+  const auto answeredAt = aState.link.answeredAt.value_or(TimePoint{});
+  if (aState.now - answeredAt >= aState.options.controllerSilence && freeTokens(aBudget) >= aRequest.maxCost) {
+    aRequest.held = aRequest.maxCost;
+    return true;
+  }
+  return false;
+}
+
 /// Recomputes the tokens that waiting requests need; the next poll requests them.
 void
 countWaiting(State& aState)
@@ -110,9 +139,31 @@
   }
   for (const auto& [caller, request] : aState.requests) {
     if (waitsForTokens(request)) {
-      aState.budgets.plans[request.plan].waiting += request.maxCost;
+      aState.budgets.plans[request.plan].waiting += request.held;
+    } else if (request.refill > 0) {
+      aState.budgets.plans[request.plan].waiting += request.refill;
+    }
+  }
+}
+
+/// Tries again to get the tokens that streams have requested, and forwards the events that these cover.
+void
+serveStreams(State& aState)
+{
+  std::vector<CallerId> streams;
+  for (const auto& [caller, request] : aState.requests) {
+    if (request.refill > 0) {
+      streams.push_back(caller);
+    }
+  }
+  for (const auto caller : streams) {
+    if (const auto found = aState.requests.find(caller); found != aState.requests.end()) {
+      continueStream(aState, found->second);
     }
   }
+  if (!streams.empty()) {
+    countWaiting(aState);
+  }
 }
 
 bool
@@ -122,8 +173,11 @@
     return false;
   }
   const auto target = static_cast<double>(aRequest.route->targetLatencyMs) * aState.options.responseTimeoutFactor;
-  const auto responseTimeout = std::max(Duration(static_cast<std::int64_t>(target)), aState.options.minResponseTimeout);
-  return aState.now - aRequest.attempt->startedAt >= responseTimeout;
+  const auto& attempt = *aRequest.attempt;
+  const auto learned = attempt.estimate.expectedMs + aState.options.responseDeviations * attempt.estimate.deviationMs;
+  const auto responseTimeout =
+    std::max(Duration(static_cast<std::int64_t>(std::max(target, learned))), aState.options.minResponseTimeout);
+  return aState.now - attempt.startedAt >= responseTimeout && aState.now >= attempt.reviewAt;
 }
 
 /// Resolves route, plan and service of the request and checks that this gateway may accept it.
@@ -142,7 +196,8 @@
   }
   setExpiry(aRequest);
   if (aRequest.needsTokens) {
-    recordDemand(aState.budgets.plans[aRequest.plan], aRequest.maxCost);
+    chooseHold(aState, aRequest);
+    recordDemand(aState.budgets.plans[aRequest.plan], aRequest.held);
   }
   return true;
 }
@@ -177,7 +232,7 @@
   }
   if (aRequest.needsTokens && !aRequest.reserved) {
     auto& budget = aState.budgets.plans[aRequest.plan];
-    if (!reserve(budget, aRequest.maxCost)) {
+    if (!coversLargestCost(aState, budget, aRequest) || !reserve(budget, aRequest.held)) {
       if (confirmedExhausted(budget, aRequest.maxCost, aState.now)) {
         log(aState,
             Severity::kInfo,
@@ -190,7 +245,8 @@
               { "issued", budget.issued },
               { "returned", budget.returned },
               { "spent", budget.spent },
-              { "reserved", budget.reserved } });
+              { "reserved", budget.reserved },
+              { "committed", budget.committed } });
         failRequest(aState, aRequest.call.caller, { 402, "budget_exhausted", {} });
         return;
       }
@@ -202,6 +258,7 @@
       return;
     }
     aRequest.reserved = true;
+    budget.committed += aRequest.maxCost - aRequest.held;
     if (aRequest.waitsUntil) {
       aRequest.waitsUntil.reset();
       countWaiting(aState);
@@ -227,6 +284,7 @@
   if (!waiting.empty()) {
     countWaiting(aState);
   }
+  serveStreams(aState);
 }
 
 void
@@ -264,6 +322,23 @@
   }
 }
 
+void
+requestRefill(State& aState, Request& aRequest, Tokens aTokens)
+{
+  auto& budget = aState.budgets.plans[aRequest.plan];
+  if (aRequest.refill == 0) {
+    recordDemand(budget, aTokens);
+  }
+  const auto taken = std::clamp<Tokens>(freeTokens(budget), 0, aTokens);
+  reserve(budget, taken);
+  budget.committed -= taken;
+  aRequest.held += taken;
+  if (std::exchange(aRequest.refill, aTokens - taken) == 0 && aRequest.refill > 0) {
+    countWaiting(aState);
+    pollSoon(aState);
+  }
+}
+
 void
 onCallerGone(State& aState, CallerId aCaller)
 {
@@ -284,9 +359,8 @@
   }
   auto& request = found->second;
   request.undelivered -= std::min(request.undelivered, aDrained.bytes);
-  if (request.paused && request.attempt && request.undelivered < aState.options.windowBytes / 2) {
-    request.paused = false;
-    aState.actions.emplace_back(PauseCall{ request.attempt->exchange, false });
+  if (request.paused && request.attempt) {
+    updatePause(aState, request);
   }
 }
 
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -2,13 +2,14 @@
 
 #include "crash_evidence.h"
 #include "event_stream.h"
+#include "local_shortage.h"
 #include "plan_budgets.h"
 #include "retry_share.h"
 #include "route_index.h"
-#include "upstreams.h"
 
 #include "rhubarbarch/gateway/events.h"
 #include "rhubarbarch/gateway/options.h"
+#include "rhubarbarch/upstream/upstreams.h"
 
 #include <nlohmann/json_fwd.hpp>
 
@@ -24,6 +25,10 @@
 
 namespace rhubarbarch::gateway {
 
+using upstream::CallLimit;
+using upstream::Upstream;
+using upstream::Upstreams;
+
 /// One call of a request to an upstream.
 struct Attempt
 {
@@ -31,10 +36,17 @@
   std::string upstreamId;
   TimePoint startedAt;
   Duration expected{ 0 };
-  Tokens uncachedTokens = 0; ///< prompt tokens counted as prefill load of the upstream until the first event
+  Tokens uncachedTokens = 0;       ///< prompt tokens counted as prefill load of the upstream until the first event
+  upstream::EngineLoad load;       ///< engines: at placement
+  upstream::TimeEstimate estimate; ///< engines: learned time to the first event; zero: none
+  std::int32_t priority = 0;       ///< at the upstream
+  bool measurable = false;         ///< engines: the time to the first event may be learned
+  TimePoint reviewAt;              ///< while silent: when to consider another upstream next
+  bool keptLogged = false;         ///< while silent: logged that it stays
   bool firstBytes = false;
   bool trial = false;                 ///< the first call after a rest of the upstream
   bool sound = false;                 ///< the answer got past its first event
+  bool ended = false;                 ///< the answer is complete, and events of it are held back
   std::int64_t eventsBefore = 0;      ///< events of the request's earlier attempts
   std::unique_ptr<UpstreamHead> head; ///< null: not received yet
 };
@@ -53,6 +65,9 @@
   Duration loopDelay{ 0 }; ///< longest time that it may have waited to be read
   TimePoint expiresAt;     ///< the caller's deadline or the route's timeout, whichever comes first
   Tokens maxCost = 0;
+  Tokens held = 0;    ///< reserved for it, `charged` included; before that, what it will reserve
+  Tokens charged = 0; ///< already counted as spent
+  Tokens refill = 0;  ///< requested for the running stream and not yet reserved
   bool reserved = false;
   std::optional<TimePoint> waitsUntil; ///< set while it waits for tokens or for the first routing table
   std::unique_ptr<Attempt> attempt;    ///< null: none in progress
@@ -103,6 +118,14 @@
   std::uint64_t callersDisconnected = 0;
   std::uint64_t retries = 0;
   std::uint64_t resumed = 0;
+  std::uint64_t silentMoved = 0;                  ///< silent calls to engines that were tried elsewhere
+  std::uint64_t silentKept = 0;                   ///< silent calls to engines that stayed, counted once
+  std::uint64_t firstEvents = 0;                  ///< measured times to a first event of an engine
+  double firstEventMs = 0;                        ///< their sum
+  double expectedMs = 0;                          ///< sum of the estimates for them
+  double estimateErrorMs = 0;                     ///< sum of the absolute errors of the estimates
+  std::uint64_t ignoredMeasurements = 0;          ///< absurd ones
+  std::uint64_t starved = 0;                      ///< pauses of streams for which no tokens had arrived
   std::uint64_t quarantined = 0;                  ///< requests refused because of a quarantined subject
   std::map<std::int32_t, std::uint64_t> refusals; ///< by HTTP status
 };
@@ -132,6 +155,7 @@
   Upstreams upstreams;
   PlanBudgets budgets;
   RetryLimiters retries;
+  std::map<std::string, double> typicalSlack; ///< of engines, by service; see `refinePriority`
   CrashEvidence crashes;
   ControlLink link;
   std::map<CallerId, Request> requests;
@@ -139,6 +163,7 @@
   std::uint64_t lastExchange = 0;
   std::size_t heldBytes = 0; ///< request bodies of all requests
   LoopState loop;
+  LocalShortage shortage;
   std::optional<TimePoint> leavingSince;
   bool stopped = false;
   Totals totals;
@@ -225,6 +250,12 @@
 /// @return whether the event loop is so late that new requests should go to another gateway
 bool
 overloaded(const State& aState) noexcept;
+/// Records an answer of an upstream, or a connection attempt to it that timed out.
+void
+recordUpstreamContact(State& aState, const Upstream& aUpstream, bool aTimedOut);
+/// @return the error of a request that this machine's link cannot carry now; another gateway may
+RequestError
+linkError();
 void
 onCallerAbandoned(State& aState, const CallerAbandoned& aAbandoned);
 
@@ -242,12 +273,21 @@
 /// Fails expired requests, and retries attempts whose response is overdue where that is allowed.
 void
 tickRequests(State& aState);
+/// Reserves further tokens for a running stream; what is not free is requested from the leader.
+void
+requestRefill(State& aState, Request& aRequest, Tokens aTokens);
 /// Reserves tokens and calls an upstream; waits for tokens or refuses the request if there are too few.
 void
 advance(State& aState, Request& aRequest);
 
 // attempts.cpp
 
+/// Pauses or resumes reading the answer: the caller is slow, or the request has no tokens for further events.
+void
+updatePause(State& aState, Request& aRequest);
+/// Continues a stream that has requested tokens, with those that are free now.
+void
+continueStream(State& aState, Request& aRequest);
 /// Calls an upstream, or fails the request when none can take it.
 void
 startAttempt(State& aState, Request& aRequest);
@@ -267,6 +307,28 @@
 void
 onResponseTimeout(State& aState, Request& aRequest);
 
+// windows.cpp
+
+/// @return output tokens that the request reserves at a time: one window, or one event if that is larger
+Tokens
+outputWindow(const State& aState, const Request& aRequest);
+/// @return tokens that the request costs. A caller that received some output pays for its prompt and for the output
+/// forwarded to it. A caller that received nothing pays nothing, even if an upstream has read the prompt.
+Tokens
+cost(const Request& aRequest);
+/// @return how many further events the tokens of the request cover
+std::int64_t
+coveredEvents(const Request& aRequest);
+/// @return tokens to request now for the rest of the stream; zero: none yet
+Tokens
+missingTokens(const State& aState, const Request& aRequest);
+/// Counts the output forwarded since the last call as spent.
+void
+chargeDelivered(State& aState, Request& aRequest);
+/// Settles the request's reservation and withdraws its commitment.
+void
+release(State& aState, Request& aRequest);
+
 // finish.cpp
 
 /// Sends an error of this gateway, or aborts the answer in progress. The status states that the request did not run
--- a/src/gateway/upstreams.cpp
+++ b/src/upstream/upstreams.cpp
@@ -1,11 +1,11 @@
-#include "upstreams.h"
+#include "rhubarbarch/upstream/upstreams.h"
 
 #include <algorithm>
 #include <chrono>
 #include <cmath>
 #include <iterator>
 
-namespace rhubarbarch::gateway {
+namespace rhubarbarch::upstream {
 
 namespace {
 
@@ -15,13 +15,43 @@
 constexpr Duration kLongestAvoidance{ 4000 };
 /// Weight of one answer in the smoothed error rate: a server that fails 40% of its calls is detected after about ten.
 constexpr double kErrorWeight = 0.1;
-/// Weight of one measurement in the smoothed times and ratios.
+/// Weight of one measurement in the smoothed times of plain services.
 constexpr double kTimeWeight = 0.2;
 /// Limit on the ratio of one measurement, since a single queue or preemption does not make a server slow.
 constexpr double kLargestRatio = 10;
-/// Half-life of recorded errors and slowness.
+/// Half-life of recorded errors and times.
 constexpr double kHalfLifeMs = 3000;
 
+bool
+present(const Upstream& aUpstream)
+{
+  return aUpstream.listed && !aUpstream.entry.leaving;
+}
+
+/// Derives which upstreams a rollout bars. While a rollout runs, its target version gets no calls, since the share of
+/// an unproved version is not dealt out yet. Once it was rolled back, the target serves only where nothing else is
+/// left: no fault of it was seen, and a refusal would help no caller.
+void
+updateBarred(Upstreams& aUpstreams, const RolloutRule& aRule)
+{
+  const auto use = [&](const Upstream& aUpstream) { return versionUse(aRule, aUpstream.entry.version); };
+  const bool othersServe = std::ranges::any_of(aUpstreams.byId, [&](const auto& aItem) {
+    const auto& upstream = aItem.second;
+    return upstream.entry.service == aRule.service && present(upstream) && use(upstream) == VersionUse::kServes;
+  });
+  for (auto& [id, upstream] : aUpstreams.byId) {
+    if (upstream.entry.service == aRule.service) {
+      upstream.barred = use(upstream) != VersionUse::kServes && (isOpen(aRule.phase) || othersServe);
+    }
+  }
+}
+
+void
+updateBarred(Upstreams& aUpstreams)
+{
+  std::ranges::for_each(aUpstreams.rollouts, [&](const auto& aRule) { updateBarred(aUpstreams, aRule); });
+}
+
 } // namespace
 
 void
@@ -48,9 +78,22 @@
   }
   aUpstreams.listedAt = aReadAt;
   aUpstreams.received = true;
+  updateBarred(aUpstreams);
   removeUnlisted(aUpstreams, aNow);
 }
 
+bool
+applyRollouts(Upstreams& aUpstreams, const std::vector<RolloutRule>& aRollouts, std::uint64_t aRevision)
+{
+  if (aRevision <= aUpstreams.rolloutsRevision) {
+    return false;
+  }
+  aUpstreams.rolloutsRevision = aRevision;
+  aUpstreams.rollouts = aRollouts;
+  updateBarred(aUpstreams);
+  return true;
+}
+
 bool
 applyEvacuations(Upstreams& aUpstreams, const std::vector<DataCentre>& aDataCentres, std::uint64_t aRevision)
 {
@@ -109,17 +152,23 @@
 }
 
 void
-recordTime(Upstream& aUpstream, Duration aTaken, Duration aExpected, bool aEngine, TimePoint aNow)
+recordTime(Upstream& aUpstream, Duration aTaken, bool aEngine, TimePoint aNow)
 {
   decay(aUpstream, aNow);
   aUpstream.failures = 0;
-  const auto taken = static_cast<double>(aTaken.count());
-  if (!aEngine) {
-    aUpstream.latencyMs =
-      aUpstream.latencyMs == 0 ? taken : aUpstream.latencyMs + kTimeWeight * (taken - aUpstream.latencyMs);
+  if (aEngine) {
     return;
   }
-  const auto ratio = taken / std::max(1.0, static_cast<double>(aExpected.count()));
+  const auto taken = static_cast<double>(aTaken.count());
+  aUpstream.latencyMs =
+    aUpstream.latencyMs == 0 ? taken : aUpstream.latencyMs + kTimeWeight * (taken - aUpstream.latencyMs);
+}
+
+void
+recordSlowness(Upstream& aUpstream, Duration aTaken, Duration aExpected, TimePoint aNow)
+{
+  decay(aUpstream, aNow);
+  const auto ratio = static_cast<double>(aTaken.count()) / std::max(1.0, static_cast<double>(aExpected.count()));
   aUpstream.slowness += kTimeWeight * (std::min(ratio, kLargestRatio) - aUpstream.slowness);
 }
 
@@ -137,7 +186,7 @@
 bool
 usable(const Upstream& aUpstream) noexcept
 {
-  return aUpstream.listed && !aUpstream.entry.leaving && !aUpstream.evacuated;
+  return present(aUpstream) && !aUpstream.evacuated && !aUpstream.barred;
 }
 
 void
@@ -149,4 +198,4 @@
   });
 }
 
-} // namespace rhubarbarch::gateway
+} // namespace rhubarbarch::upstream
