--- a/tests/controller/crash_suspects_test.cpp
+++ b/tests/controller/crash_suspects_test.cpp
@@ -34,7 +34,7 @@
   }
 
   /// Crashes upstreams within a few milliseconds of each other, as when their rack loses power.
-  void crashTogether(int aRequest, std::vector<int> aUpstreams, const std::vector<std::string>& aSubjects)
+  void crashTogether(int aRequest, const std::vector<int>& aUpstreams, const std::vector<std::string>& aSubjects)
   {
     now += Duration{ 1000 };
     for (const auto upstream : aUpstreams) {
@@ -134,7 +134,7 @@
 {
   for (int i = 0; i < 3; ++i) {
     now += Duration{ 200 };
-    recordCrashes(suspects, { { "r1", "e" + std::to_string(i), {}, 200 * i } }, now);
+    recordCrashes(suspects, { { "r1", "e" + std::to_string(i), {}, std::int64_t{ 200 } * i } }, now);
   }
   STRCMP_EQUAL("", cause().c_str());
 }
