--- a/tests/state/rollouts_test.cpp
+++ b/tests/state/rollouts_test.cpp
@@ -12,19 +12,19 @@
   ReplicatedState state;
   std::uint64_t index = 0;
 
-  RolloutOutcome run(const Command& aCommand)
+  RolloutOutcome commit(const Command& aCommand)
   {
     return std::get<RolloutOutcome>(apply(state, decodeCommand(encodeCommand(aCommand)).value(), LogIndex{ ++index }));
   }
 
   RolloutOutcome order(const VersionName& aTarget, std::int64_t aDurationS = 60)
   {
-    return run(OrderRollout{ "chat", aTarget, aDurationS, 1000 });
+    return commit(OrderRollout{ "chat", aTarget, aDurationS, 1000 });
   }
 
   RolloutOutcome step(RolloutPhase aPhase)
   {
-    return run(StepRollout{ "chat", newest().rule.orderedAt, aPhase, "test" });
+    return commit(StepRollout{ "chat", newest().rule.orderedAt, aPhase, "test" });
   }
 
   const Rollout& newest() const
@@ -51,7 +51,7 @@
   order("v2");
   CHECK(order("v3") == RolloutOutcome::kRunning);
   CHECK(order("v2", 30) == RolloutOutcome::kRunning);
-  CHECK(run(OrderRollout{ "desk", "v3", 60, 1000 }) == RolloutOutcome::kAccepted);
+  CHECK(commit(OrderRollout{ "desk", "v3", 60, 1000 }) == RolloutOutcome::kAccepted);
   step(RolloutPhase::kSucceeded);
   CHECK(order("v2", 30) == RolloutOutcome::kSameVersion);
   CHECK(order("v3") == RolloutOutcome::kAccepted);
@@ -65,7 +65,7 @@
   CHECK(step(RolloutPhase::kRolledBack) == RolloutOutcome::kChanged);
   CHECK(step(RolloutPhase::kSucceeded) == RolloutOutcome::kUnchanged);
   order("v3");
-  CHECK(run(StepRollout{ "chat", first, RolloutPhase::kSucceeded, "late" }) == RolloutOutcome::kUnchanged);
+  CHECK(commit(StepRollout{ "chat", first, RolloutPhase::kSucceeded, "late" }) == RolloutOutcome::kUnchanged);
   CHECK(newest().rule.phase == RolloutPhase::kRunning);
 }
 
@@ -74,11 +74,11 @@
 {
   order("v2");
   const auto at = newest().rule.orderedAt;
-  CHECK(run(AllotExposure{ "chat", at, 500, 90 }) == RolloutOutcome::kChanged);
-  run(AllotExposure{ "chat", at, 400, 80 });
+  CHECK(commit(AllotExposure{ "chat", at, 500, 90 }) == RolloutOutcome::kChanged);
+  commit(AllotExposure{ "chat", at, 400, 80 });
   CHECK_EQUAL(500, newest().counted);
   CHECK_EQUAL(90, newest().dealt);
-  CHECK(run(AllotExposure{ "chat", LogIndex{ 99 }, 600, 100 }) == RolloutOutcome::kUnchanged);
+  CHECK(commit(AllotExposure{ "chat", LogIndex{ 99 }, 600, 100 }) == RolloutOutcome::kUnchanged);
 }
 
 // Guards against calls to a version that was rolled back, that is unproved, or that a successful rollout has replaced.
