--- a/tests/resources/platform_fleet.h
+++ b/tests/resources/platform_fleet.h
@@ -218,6 +218,9 @@
   static bool isFree(std::uint16_t aPort)
   {
     const int handle = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    if (handle < 0) {
+      return false;
+    }
     sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_port = htons(aPort);
--- a/tests/resources/resources_test.cpp
+++ b/tests/resources/resources_test.cpp
@@ -16,7 +16,7 @@
 using rhubarbarch::testing::waitUntil;
 
 constexpr std::size_t kMegabyte = std::size_t{ 1 } << 20U;
-constexpr std::size_t kLargeChunk = 64 * 1024;
+constexpr std::size_t kLargeChunk = std::size_t{ 64 } * 1024;
 
 /// Fields of 4,000 bytes each.
 std::string
