Report what holds a process's memory, who belongs to the group, and what a gateway waits for

Nothing in the logs could tell apart the hypotheses of the incident: a process that ended at its memory limit left no line that says what held the memory, members of the group were named only while there was no leader, and a gateway that refuses everything did not say what it lacks.

No logic changes.

--- a/include/rhubarbarch/consensus/replica.h
+++ b/include/rhubarbarch/consensus/replica.h
@@ -110,6 +110,12 @@
   LogIndex lastIndex() const noexcept;
   /// Number of entries kept after the snapshot.
   std::size_t logLength() const noexcept;
+  /// Bytes of the commands that are kept in memory.
+  std::size_t logBytes() const noexcept;
+  /// Bytes of the last snapshot, which is kept in memory.
+  std::size_t snapshotBytes() const noexcept;
+  /// Index of the entry that holds the members in force.
+  LogIndex membershipIndex() const noexcept;
   std::vector<Member> members() const;
   /// All members with what the leader knows of them; on others only who they are.
   std::vector<MemberProgress> progress(TimePoint aNow) const;
--- a/src/consensus/replica.cpp
+++ b/src/consensus/replica.cpp
@@ -2,6 +2,7 @@
 
 #include "core.h"
 
+#include <numeric>
 #include <utility>
 
 namespace rhubarbarch::consensus {
@@ -194,6 +195,27 @@
   return toNumber(lastIndex()) - toNumber(snapshotIndex(mState->log));
 }
 
+std::size_t
+Replica::logBytes() const noexcept
+{
+  const auto& entries = mState->log.entries;
+  return std::accumulate(entries.begin(), entries.end(), std::size_t{ 0 }, [](std::size_t aSum, const auto& aEntry) {
+    return aSum + aEntry.data.data.size();
+  });
+}
+
+std::size_t
+Replica::snapshotBytes() const noexcept
+{
+  return mState->log.snapshot ? mState->log.snapshot->state.size() : 0;
+}
+
+LogIndex
+Replica::membershipIndex() const noexcept
+{
+  return configurationIndex(mState->log);
+}
+
 std::vector<Member>
 Replica::members() const
 {
--- a/src/controller/controller_role.cpp
+++ b/src/controller/controller_role.cpp
@@ -122,6 +122,7 @@
   void on(const PlatformList& aEvent);
   void stopWhenHandedOver();
   void reportStall();
+  void reportMembers();
   void on(const UpstreamsRead& aEvent);
   void on(const Contacts& aEvent) { replica.setContacts(aEvent.controllers); }
   void requestRead();
@@ -142,6 +143,7 @@
   Term leadTerm{};
   bool leading = false;
   bool caughtUp = false;  ///< an entry of this leadership is applied, so the state includes all earlier commits
+  LogIndex reportedMembers{}; ///< index of the members that were logged last
   TimePoint stalledSince; ///< start of the stall or its last report; time of the last tick while there is none
   std::optional<TimePoint> shutdownAt;
   bool stopped = false;
@@ -283,6 +285,7 @@
   drain();
   compact();
   drain();
+  reportMembers();
 }
 
 void
@@ -421,6 +424,29 @@
   stopWhenHandedOver();
 }
 
+// Logs who belongs to the group whenever that changes, and once after a start.
+void
+ControllerRole::Core::reportMembers()
+{
+  const auto index = replica.membershipIndex();
+  if (index == reportedMembers) {
+    return;
+  }
+  reportedMembers = index;
+  auto voters = nlohmann::json::array();
+  auto learners = nlohmann::json::array();
+  for (const auto& member : replica.members()) {
+    (member.voter ? voters : learners).push_back(member.instance);
+  }
+  auto step = context();
+  log(step,
+      "members",
+      { { "index", toNumber(index) },
+        { "last_index", toNumber(replica.lastIndex()) },
+        { "voters", std::move(voters) },
+        { "learners", std::move(learners) } });
+}
+
 // Logs the state of the group's members when no leader serves.
 void
 ControllerRole::Core::reportStall()
@@ -576,6 +602,9 @@
            { "rhubarbarch_controller_leaderships_total", "", static_cast<double>(core.leaderships) },
            { "rhubarbarch_controller_commands_total", "", static_cast<double>(core.commandsApplied) },
            { "rhubarbarch_controller_log_entries", "", static_cast<double>(core.replica.logLength()) },
+           { "rhubarbarch_controller_log_bytes", "", static_cast<double>(core.replica.logBytes()) },
+           { "rhubarbarch_controller_snapshot_bytes", "", static_cast<double>(core.replica.snapshotBytes()) },
+           { "rhubarbarch_controller_reads_waiting", "", static_cast<double>(core.memory.reads.size()) },
            { "rhubarbarch_controller_sessions", "role=\"router\"", static_cast<double>(sessions.routers.size()) },
            { "rhubarbarch_controller_sessions", "role=\"agent\"", static_cast<double>(sessions.agents.size()) },
            { "rhubarbarch_controller_grants", "", static_cast<double>(core.state.ledger.grants.size()) },
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -1,6 +1,7 @@
 #include "daemon.h"
 
 #include "control_part.h"
+#include "memory_watch.h"
 #include "operator_part.h"
 #include "parts.h"
 #include "peer_part.h"
@@ -28,6 +29,9 @@
 constexpr Duration kPeerFlushLimit{ 1000 };
 // The settings file may change without a signal; what it names lags by seconds itself.
 constexpr Duration kReloadPeriod{ 3000 };
+// A process that is flooded over its links fills the rest of a small machine's memory within a second.
+constexpr Duration kMemoryCheckPeriod{ 100 };
+constexpr std::size_t kBytesPerMb = std::size_t{ 1024 } * 1024;
 
 Boot
 drawBoot()
@@ -117,6 +121,7 @@
     awaitSignal();
     awaitHangUp();
     awaitReload();
+    awaitMemoryCheck();
     dispatcher.introduceRoles(kFromMain);
     log.write({ Severity::kInfo, "started", { { "boot", toNumber(process.boot) } } });
     operators->start();
@@ -180,6 +185,23 @@
     });
   }
 
+  void awaitMemoryCheck()
+  {
+    if (settings.memoryMb == 0) {
+      return;
+    }
+    memoryTimer.expires_after(kMemoryCheckPeriod);
+    memoryTimer.async_wait([this](const boost::system::error_code& aError) {
+      if (aError) {
+        return;
+      }
+      if (auto line = memoryWatch.check(residentBytes(), [this] { return metrics(); })) {
+        log.write(std::move(*line));
+      }
+      awaitMemoryCheck();
+    });
+  }
+
   /// Only the first contacts may change while the process runs.
   void readAgain()
   {
@@ -295,6 +317,8 @@
   boost::asio::signal_set signals{ main, SIGTERM, SIGINT };
   boost::asio::signal_set hangUps{ main, SIGHUP };
   boost::asio::steady_timer reloadTimer{ main };
+  boost::asio::steady_timer memoryTimer{ main };
+  MemoryWatch memoryWatch{ settings.memoryMb * kBytesPerMb };
   boost::asio::steady_timer deadline{ main };
   boost::asio::steady_timer flushTimer{ main };
   std::chrono::steady_clock::time_point flushLimit;
--- a/src/gateway/control.cpp
+++ b/src/gateway/control.cpp
@@ -13,6 +13,9 @@
 /// Pause before the next poll when a controller reports no leader: an election is in progress.
 constexpr Duration kNoLeaderPause{ 50 };
 
+/// A gateway that cannot serve logs what it lacks once in this period.
+constexpr Duration kStartupReport{ 1500 };
+
 const std::string&
 currentController(const ControlLink& aLink)
 {
@@ -122,6 +125,48 @@
   }
 }
 
+/// @return milliseconds from the start to an event; -1: it has not come
+std::int64_t
+sinceStart(const State& aState, const std::optional<TimePoint>& aAt)
+{
+  return aAt ? (*aAt - aState.startedAt).count() : -1;
+}
+
+/// Logs when all that this gateway needs to serve has come, and until then now and then what is missing.
+void
+reportStartup(State& aState)
+{
+  auto& startup = aState.startup;
+  if (startup.reported) {
+    return;
+  }
+  const auto note = [&](std::optional<TimePoint>& aAt, bool aCame) {
+    if (aCame && !aAt) {
+      aAt = aState.now;
+    }
+  };
+  note(startup.answeredAt, aState.link.answeredAt.has_value());
+  note(startup.sessionAt, aState.link.session != SessionId{});
+  note(startup.routingAt, aState.index != nullptr);
+  note(startup.upstreamsAt, aState.upstreams.received);
+  startup.reported = startup.answeredAt && startup.sessionAt && startup.routingAt && startup.upstreamsAt;
+  const auto stalledSince = std::max(startup.stallReportedAt, aState.startedAt);
+  if (!startup.reported && aState.now - stalledSince < kStartupReport) {
+    return;
+  }
+  startup.stallReportedAt = aState.now;
+  log(aState,
+      startup.reported ? Severity::kInfo : Severity::kWarning,
+      startup.reported ? "serving" : "not_serving",
+      { { "answer_ms", sinceStart(aState, startup.answeredAt) },
+        { "session_ms", sinceStart(aState, startup.sessionAt) },
+        { "routing_ms", sinceStart(aState, startup.routingAt) },
+        { "upstreams_ms", sinceStart(aState, startup.upstreamsAt) },
+        { "controller", currentController(aState.link) },
+        { "controllers", aState.link.controllers },
+        { "not_leading", startup.hints } });
+}
+
 std::uint64_t
 relayOrder(const State& aState, const std::string& aUpstream)
 {
@@ -306,6 +351,7 @@
 onNotLeader(State& aState, const InstanceId& aFrom, const NotLeader& aHint)
 {
   auto& link = aState.link;
+  ++aState.startup.hints;
   if (currentController(link) != aFrom) {
     return;
   }
@@ -336,6 +382,7 @@
   rotateOnTimeout(aState);
   readListIfStale(aState);
   sendDue(aState);
+  reportStartup(aState);
 }
 
 void
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -140,6 +140,18 @@
   TimePoint loggedAt;
 };
 
+/// What a gateway waits for before it can serve, and when each of it came.
+struct Startup
+{
+  std::optional<TimePoint> answeredAt;  ///< first answer of a leader
+  std::optional<TimePoint> sessionAt;   ///< its session, without which it gets no tokens
+  std::optional<TimePoint> routingAt;   ///< first routing table
+  std::optional<TimePoint> upstreamsAt; ///< first list of upstreams
+  std::uint64_t hints = 0;              ///< controllers that said that they do not lead, since the last answer
+  bool reported = false;                ///< all of it has come and was logged
+  TimePoint stallReportedAt;
+};
+
 /// State of the gateway role. Free functions in this folder operate on it.
 struct State
 {
@@ -158,6 +170,7 @@
   std::map<std::string, double> typicalSlack; ///< of engines, by service; see `refinePriority`
   CrashEvidence crashes;
   ControlLink link;
+  Startup startup;
   std::map<CallerId, Request> requests;
   std::map<ExchangeId, CallerId> exchanges;
   std::uint64_t lastExchange = 0;
--- a/src/net/peer_network.cpp
+++ b/src/net/peer_network.cpp
@@ -250,6 +250,8 @@
   {
     const auto time = now();
     const bool congested = events.congested();
+    queuedBytes = buffered();
+    openLinks = links.size();
     std::vector<LinkId> silent;
     for (auto& [id, link] : links) {
       setPaused(id, link, congested, time);
@@ -268,6 +270,16 @@
     reconnect(time);
   }
 
+  /// @return bytes of all connections that are not yet handed to the operating system
+  std::size_t buffered() const
+  {
+    std::size_t bytes = 0;
+    for (const auto& [id, link] : links) {
+      bytes += transport.bufferedBytes(id);
+    }
+    return bytes;
+  }
+
   void setPaused(LinkId aId, PeerLink& aLink, bool aPaused, TimePoint aTime)
   {
     if (aLink.paused == aPaused) {
@@ -337,6 +349,8 @@
   std::atomic<std::uint64_t> framesDropped{ 0 };
   std::atomic<std::uint64_t> bytesSent{ 0 };
   std::atomic<std::uint64_t> bytesReceived{ 0 };
+  std::atomic<std::size_t> queuedBytes{ 0 }; ///< at the last tick
+  std::atomic<std::size_t> openLinks{ 0 };   ///< at the last tick
   WebsocketTransport transport;
 };
 
@@ -394,11 +408,7 @@
 std::size_t
 PeerNetwork::bufferedBytes() const
 {
-  std::size_t buffered = 0;
-  for (const auto& [id, link] : mState->links) {
-    buffered += mState->transport.bufferedBytes(id);
-  }
-  return buffered;
+  return mState->buffered();
 }
 
 Metrics
@@ -409,7 +419,9 @@
            { "rhubarbarch_peer_frames_received_total", "", number(mState->framesReceived) },
            { "rhubarbarch_peer_frames_dropped_total", "", number(mState->framesDropped) },
            { "rhubarbarch_peer_sent_bytes_total", "", number(mState->bytesSent) },
-           { "rhubarbarch_peer_received_bytes_total", "", number(mState->bytesReceived) } };
+           { "rhubarbarch_peer_received_bytes_total", "", number(mState->bytesReceived) },
+           { "rhubarbarch_peer_queued_bytes", "", static_cast<double>(mState->queuedBytes.load()) },
+           { "rhubarbarch_peer_links", "", static_cast<double>(mState->openLinks.load()) } };
 }
 
 void
--- a/tests/support/consensus_cluster.h
+++ b/tests/support/consensus_cluster.h
@@ -226,11 +226,14 @@
   }
 
   /// Proposes the next command on a node.
+  /// @param aBytes size to which its text is filled up
   /// @return false when it is not the leader
-  bool propose(ClusterNode& aNode)
+  bool propose(ClusterNode& aNode, std::size_t aBytes = 0)
   {
     Output output;
-    const auto index = aNode.replica->propose("command " + std::to_string(++mCommands), now, output);
+    auto command = "command " + std::to_string(++mCommands);
+    command.resize(std::max(command.size(), aBytes), '.');
+    const auto index = aNode.replica->propose(std::move(command), now, output);
     take(aNode, std::move(output));
     return index.has_value();
   }
