Bound by bytes what a leader has on its way to a member, and repeat no entries

Cause: a leader repeated up to 1 MB of entries with each heartbeat (100 ms) to a member that had been away, until its first answer. A member on 0.3 of a core takes longer than that for 1 MB, so copies piled up on both ends. Class of fault: retransmission by a fixed time, before queues that count messages.

Now heartbeats carry no entries: a follower that lacks what was sent says so in its answer.

--- a/src/consensus/core.h
+++ b/src/consensus/core.h
@@ -5,6 +5,7 @@
 #include "rhubarbarch/consensus/replica.h"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -23,6 +24,13 @@
   kLeader
 };
 
+/// Entries that were sent to a follower in one request and are not acknowledged.
+struct SentEntries
+{
+  LogIndex lastIndex{};
+  std::size_t bytes = 0;
+};
+
 /// A snapshot on its way to a follower. It keeps its snapshot alive when the leader takes a newer one meanwhile.
 struct SnapshotTransfer
 {
@@ -37,6 +45,7 @@
   LogIndex matchIndex{};            ///< last index known to be synced there
   LogIndex nextIndex{};             ///< first index to send next
   bool probing = false;             ///< looking for the last common entry: one request at a time
+  std::deque<SentEntries> sent;     ///< requests on their way, in order; none while probing
   TimePoint heardAt;                ///< last reply of this term
   std::uint64_t confirmedRound = 0; ///< last heartbeat round it replied to
   std::optional<SnapshotTransfer> transfer;
--- a/src/consensus/replication.cpp
+++ b/src/consensus/replication.cpp
@@ -2,16 +2,29 @@
 
 #include <algorithm>
 #include <functional>
+#include <numeric>
 #include <utility>
 
 namespace rhubarbarch::consensus {
 
 namespace {
 
-/// Bytes of entries in one request; well below the largest frame.
-constexpr std::size_t kMaxAppendBytes = std::size_t{ 1024 } * 1024;
+/// Bytes of entries in one request. A follower on the smallest machine (0.3 of a core) takes some 60 ms for them, less
+/// than a heartbeat.
+constexpr std::size_t kMaxAppendBytes = std::size_t{ 256 } * 1024;
 /// Requests that may be on their way to one member unacknowledged.
 constexpr std::size_t kMaxRequestsInFlight = 16;
+/// Bytes of entries from which on no further request is sent to a member until it acknowledges some. With seven members
+/// that answer nothing, a leader holds less than a tenth of the smallest machine's memory (88 MB) for them.
+constexpr std::size_t kMaxBytesInFlight = std::size_t{ 1024 } * 1024;
+
+std::size_t
+byteCount(const std::vector<LogEntry>& aEntries)
+{
+  return std::accumulate(aEntries.begin(), aEntries.end(), std::size_t{ 0 }, [](std::size_t aSum, const auto& aEntry) {
+    return aSum + aEntry.data.data.size();
+  });
+}
 
 void
 sendAppend(Core& aCore, const Member& aMember, Peer& aPeer, std::vector<LogEntry> aEntries, Step& aStep)
@@ -28,6 +41,9 @@
     request.commitIndex = aCore.commitIndex;
     request.entries = std::move(aEntries);
     aPeer.nextIndex = advance(aPeer.nextIndex, request.entries.size());
+    if (!request.entries.empty()) {
+      aPeer.sent.push_back({ request.entries.back().index, byteCount(request.entries) });
+    }
   }
   aStep.out.messages.push_back({ aMember.instance, std::move(request) });
 }
@@ -48,8 +64,31 @@
 bool
 windowOpen(const Core& aCore, const Peer& aPeer)
 {
+  const auto onTheirWay =
+    std::accumulate(aPeer.sent.begin(), aPeer.sent.end(), std::size_t{ 0 }, [](std::size_t aSum, const auto& aEach) {
+      return aSum + aEach.bytes;
+    });
   const auto window = kMaxRequestsInFlight * aCore.options.maxEntriesPerAppend;
-  return aPeer.nextIndex <= lastIndex(aCore.log) && aPeer.nextIndex <= advance(aPeer.matchIndex, window);
+  return aPeer.nextIndex <= lastIndex(aCore.log) && aPeer.nextIndex <= advance(aPeer.matchIndex, window) &&
+         onTheirWay < kMaxBytesInFlight;
+}
+
+void
+forgetAcknowledged(Peer& aPeer)
+{
+  while (!aPeer.sent.empty() && aPeer.sent.front().lastIndex <= aPeer.matchIndex) {
+    aPeer.sent.pop_front();
+  }
+}
+
+/// Sends entries without counting them as sent: the answer to this request decides what follows.
+void
+sendProbe(Core& aCore, const Member& aMember, Peer& aPeer, Step& aStep)
+{
+  const auto resumeAt = aPeer.nextIndex;
+  sendAppend(aCore, aMember, aPeer, nextEntries(aCore, aPeer), aStep);
+  aPeer.nextIndex = resumeAt;
+  aPeer.sent.clear();
 }
 
 void
@@ -57,17 +96,13 @@
 {
   auto& peer = aCore.peers.at(aMember.replica);
   const bool starts = !peer.transfer && needsSnapshot(aCore, peer);
-  const bool overdue = peer.transfer && peer.transfer->sentAt + 2 * aCore.options.heartbeat <= aStep.now;
+  const bool overdue = peer.transfer && peer.transfer->sentAt + aCore.options.electionTimeout <= aStep.now;
   if (starts || overdue) {
     sendSnapshotChunk(aCore, aMember, peer, aStep);
   }
-  // A probe repeats its entries, because its request may have been lost.
-  const auto resumeAt = peer.nextIndex;
-  sendAppend(
-    aCore, aMember, peer, peer.probing && !peer.transfer ? nextEntries(aCore, peer) : std::vector<LogEntry>{}, aStep);
-  if (peer.probing) {
-    peer.nextIndex = resumeAt;
-  }
+  // Nothing is repeated here: a follower that lacks what was sent before says so in its answer to the empty request.
+  // Entries repeated with each heartbeat would pile up before a follower that takes longer than that for them.
+  sendAppend(aCore, aMember, peer, {}, aStep);
 }
 
 /// Index to try next after a mismatch: before all entries of the term that disagrees.
@@ -115,12 +150,12 @@
   }
   aPeer.nextIndex = wanted;
   aPeer.probing = true;
+  aPeer.sent.clear();
   if (needsSnapshot(aCore, aPeer)) {
     sendSnapshotChunk(aCore, aMember, aPeer, aStep);
     return;
   }
-  sendAppend(aCore, aMember, aPeer, nextEntries(aCore, aPeer), aStep);
-  aPeer.nextIndex = wanted;
+  sendProbe(aCore, aMember, aPeer, aStep);
 }
 
 } // namespace
@@ -225,6 +260,7 @@
   } else {
     peer.matchIndex = std::max(peer.matchIndex, aReply.matchIndex);
     peer.nextIndex = std::max(peer.nextIndex, next(peer.matchIndex));
+    forgetAcknowledged(peer);
     peer.probing = peer.probing && aReply.matchIndex < previous(peer.nextIndex);
     advanceCommit(aCore, aStep);
     replicateTo(aCore, member, aStep);
--- a/src/consensus/snapshot.cpp
+++ b/src/consensus/snapshot.cpp
@@ -113,6 +113,7 @@
   if (aReply.installed) {
     peer.transfer.reset();
     peer.probing = false;
+    peer.sent.clear();
     peer.matchIndex = std::max(peer.matchIndex, aReply.lastIndex);
     peer.nextIndex = next(peer.matchIndex);
     advanceCommit(aCore, aStep);
--- a/tests/consensus/flow_control_test.cpp
+++ b/tests/consensus/flow_control_test.cpp
@@ -48,7 +48,10 @@
     slow = std::ranges::find_if(cluster.nodes, [](const auto& aNode) { return !aNode.replica->isLeader(); })->name;
   }
 
-  ClusterNode& slowNode() { return *std::ranges::find(cluster.nodes, slow, &ClusterNode::name); }
+  ClusterNode& slowNode()
+  {
+    return *std::ranges::find(cluster.nodes, slow, &ClusterNode::name);
+  }
 
   /// Commits commands of a total size.
   void propose(std::size_t aCommands, std::size_t aBytesEach)
@@ -69,7 +72,10 @@
     return bytes;
   }
 
-  bool caughtUp() { return cluster.settled(); }
+  bool caughtUp()
+  {
+    return cluster.settled();
+  }
 };
 
 // Guards against a leader that fills its own memory and that of a follower with copies of the same entries while the
