Ask all known controllers for the group, not only those that the settings name

Cause: an instance without a leader asked only the three contacts of its settings for the group. When all three have lost it, they ask each other for ever: two whose disks were lost, and one that the group had given up while it was cut off. A gateway knows no others after a restart, so it refuses everything although the other controllers have a leader. Class of fault: waits in a ring.

Evidence: Tolerance.contactsThatHaveLostTheGroupFindItAgain plays this over the simulated group and failed: 15 s after the restart one of the five others leads all five, and none of the three contacts knows a leader.

Now a replica that has a log also asks the members in it, and one that gets messages for an identity that its instance had on an earlier disk asks their senders.

--- a/src/consensus/core.cpp
+++ b/src/consensus/core.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cstdio>
 #include <cstdlib>
+#include <iterator>
 #include <utility>
 
 namespace rhubarbarch::consensus {
@@ -92,13 +93,32 @@
   aCore.electionDeadline = aNow + part + Duration(extra(aCore.random));
 }
 
+bool
+isFor(Core& aCore, ReplicaId aTo, const InstanceId& aFrom)
+{
+  // More than a group has members; bounds what unknown senders can add.
+  constexpr std::size_t kMaxSenders = 16;
+  if (aTo == aCore.id) {
+    return true;
+  }
+  if (aCore.options.openMembership && !isMember(aCore, aCore.id) && aCore.sendersToFormer.size() < kMaxSenders) {
+    aCore.sendersToFormer.insert(aFrom);
+  }
+  return false;
+}
+
 void
 sendToControllers(const Core& aCore, const Message& aMessage, Step& aStep)
 {
-  for (const auto& instance : aCore.options.controllers) {
-    if (instance != aCore.options.instance) {
-      aStep.out.messages.push_back({ instance, aMessage });
-    }
+  std::set<InstanceId> receivers(aCore.options.controllers.begin(), aCore.options.controllers.end());
+  if (aCore.options.openMembership) {
+    // The contacts in the settings may all have lost the group. Then they would ask only each other for it.
+    std::ranges::transform(currentMembers(aCore.log), std::inserter(receivers, receivers.end()), &Member::instance);
+    receivers.insert(aCore.sendersToFormer.begin(), aCore.sendersToFormer.end());
+  }
+  receivers.erase(aCore.options.instance);
+  for (const auto& instance : receivers) {
+    aStep.out.messages.push_back({ instance, aMessage });
   }
 }
 
--- a/src/consensus/core.h
+++ b/src/consensus/core.h
@@ -105,6 +105,7 @@
 
   // Only without a group or without a leader.
   TimePoint joinDue;
+  std::set<InstanceId> sendersToFormer;    ///< controllers that sent to an identity of this instance that is gone
   std::map<InstanceId, Join> freshAnswers; ///< controllers that have said that they are without a group
   TimePoint boundUntil;                    ///< `hard.founder` no longer matters then
   TimePoint deniedUntil; ///< a controller has said that it belongs to a group: found none, ask to join
@@ -177,7 +178,13 @@
 void
 hastenElection(Core& aCore, TimePoint aNow);
 
-/// Sends to all other controllers named in the settings.
+/// @return whether a message is for this replica. A sender that takes it for another one knows the group of an identity
+/// that this instance had on an earlier disk, so a replica without a group remembers the sender.
+bool
+isFor(Core& aCore, ReplicaId aTo, const InstanceId& aFrom);
+
+/// Sends to all other controllers that this replica knows: those named in the settings and, in a group with open
+/// membership, the members in its log and the senders to its former identities.
 void
 sendToControllers(const Core& aCore, const Message& aMessage, Step& aStep);
 
--- a/src/consensus/election.cpp
+++ b/src/consensus/election.cpp
@@ -147,7 +147,7 @@
 void
 handleVoteRequest(Core& aCore, const InstanceId& aFrom, const VoteRequest& aRequest, Step& aStep)
 {
-  if (aRequest.to != aCore.id || foreign(aCore, aRequest.group, aStep.now)) {
+  if (!isFor(aCore, aRequest.to, aFrom) || foreign(aCore, aRequest.group, aStep.now)) {
     return;
   }
   // Without this, a replica that cannot hear the leader deposes it although everyone else can.
--- a/src/consensus/replication.cpp
+++ b/src/consensus/replication.cpp
@@ -207,7 +207,7 @@
 void
 handleAppendRequest(Core& aCore, const InstanceId& aFrom, const AppendRequest& aRequest, Step& aStep)
 {
-  if (aRequest.to != aCore.id || foreign(aCore, aRequest.group, aStep.now)) {
+  if (!isFor(aCore, aRequest.to, aFrom) || foreign(aCore, aRequest.group, aStep.now)) {
     return;
   }
   AppendReply reply{ aCore.id, aRequest.from, aCore.hard.term };
--- a/src/consensus/snapshot.cpp
+++ b/src/consensus/snapshot.cpp
@@ -86,7 +86,7 @@
 void
 handleSnapshotChunk(Core& aCore, const InstanceId& aFrom, SnapshotChunk aChunk, Step& aStep)
 {
-  if (aChunk.to != aCore.id || foreign(aCore, aChunk.group, aStep.now)) {
+  if (!isFor(aCore, aChunk.to, aFrom) || foreign(aCore, aChunk.group, aStep.now)) {
     return;
   }
   SnapshotReply reply{ aCore.id, aChunk.from, aCore.hard.term, aChunk.lastIndex };
--- a/tests/consensus/tolerance_test.cpp
+++ b/tests/consensus/tolerance_test.cpp
@@ -95,6 +95,30 @@
     run(kCatchUp);
   }
 
+  /// The settings of all instances name the same three contacts. One of them is cut off until the group has given it
+  /// up; then all lose power, and the other two their disks.
+  /// @return whether each contact knows the leader within the time to recover
+  bool powerLossAtTheContacts()
+  {
+    const std::vector<InstanceId> seeds{ "c1", "c2", "c3" };
+    cluster.isolate(node("c3"));
+    cluster.runUntil([this] {
+      proposeAtLeader();
+      return voters() == kInstances - 1;
+    });
+    for (auto& each : cluster.nodes) {
+      each.options.controllers = seeds;
+      each.name == "c1" || each.name == "c2" ? cluster.loseDisk(each) : cluster.crash(each);
+    }
+    cluster.cutLinks.clear();
+    std::ranges::for_each(cluster.nodes, [this](auto& aNode) { cluster.boot(aNode); });
+    run(kRecovery);
+    return std::ranges::all_of(seeds, [this](const auto& aName) {
+      const auto& replica = *node(aName).replica;
+      return replica.isLeader() || !replica.leader().empty();
+    });
+  }
+
   /// All instances lose power right after a command was committed, and one or two of them their disks.
   /// @return whether a leader serves within the time to recover
   bool powerLoss()
@@ -165,10 +189,7 @@
     }
   }
 
-  ClusterNode& node(const InstanceId& aName)
-  {
-    return *std::ranges::find(cluster.nodes, aName, &ClusterNode::name);
-  }
+  ClusterNode& node(const InstanceId& aName) { return *std::ranges::find(cluster.nodes, aName, &ClusterNode::name); }
 
   void proposeAtLeader()
   {
@@ -271,3 +292,11 @@
     }
   }
 }
+
+// Guards against a fleet that refuses everything after a power loss although a leader serves: all named contacts have
+// lost the group, two with their disks and one that was given up before, and they only asked each other for it.
+TEST(Tolerance, contactsThatHaveLostTheGroupFindItAgain)
+{
+  Deployment deployment(testSeed());
+  CHECK_TRUE_TEXT(deployment.powerLossAtTheContacts(), deployment.cluster.describe().c_str());
+}
