Bound the messages of peers in a process by bytes

Actions are executed for at most 128 events at a time. The log line of a full queue tells its bytes.

--- a/include/rhubarbarch/net/inbox.h
+++ b/include/rhubarbarch/net/inbox.h
@@ -8,6 +8,7 @@
 #include <deque>
 #include <functional>
 #include <iterator>
+#include <limits>
 #include <memory>
 #include <mutex>
 #include <utility>
@@ -22,6 +23,9 @@
 /// congested() tells producers that read from sockets to stop reading, so the list is bounded by what they had in hand.
 /// Above `aOverflowLimit` pushUnlessFull() refuses events that their senders repeat anyway.
 ///
+/// Events that may be large state their size. A lane that holds `aByteLimit` is congested, and pushUnlessFull() refuses
+/// what would take it over twice that: a thousand messages of a megabyte fit into no machine.
+///
 /// Usage: `inbox.push(lane, event)` on the lane's thread, `inbox.drain(handle)` on the reader's thread after a wake.
 template<typename Event>
 class Inbox
@@ -31,8 +35,14 @@
   /// @param aCapacity events in the ring of a lane
   /// @param aOverflowLimit events in the overflow list of a lane from which pushUnlessFull() refuses
   /// @param aWake makes the reader call drain() soon; called on producing threads
-  Inbox(std::size_t aLanes, std::size_t aCapacity, std::size_t aOverflowLimit, std::function<void()> aWake)
+  /// @param aByteLimit bytes that a lane may hold before it is congested
+  Inbox(std::size_t aLanes,
+        std::size_t aCapacity,
+        std::size_t aOverflowLimit,
+        std::function<void()> aWake,
+        std::size_t aByteLimit = std::numeric_limits<std::size_t>::max() / 2)
     : mOverflowLimit(aOverflowLimit)
+    , mByteLimit(aByteLimit)
     , mWake(std::move(aWake))
   {
     for (std::size_t lane = 0; lane < aLanes; ++lane) {
@@ -49,10 +59,12 @@
   Inbox& operator=(const Inbox&) = delete;
 
   /// Adds an event; never refuses.
-  void push(std::size_t aLane, Event aEvent)
+  /// @param aBytes memory that the event takes, where it may be large
+  void push(std::size_t aLane, Event aEvent, std::size_t aBytes = 0)
   {
     auto& lane = *mLanes[aLane];
-    auto owned = std::make_unique<Event>(std::move(aEvent));
+    auto owned = std::make_unique<Item>(Item{ std::move(aEvent), aBytes });
+    lane.bytes.fetch_add(aBytes, std::memory_order_relaxed);
     if (lane.overflowing.load(std::memory_order_acquire) || !lane.ring.push(owned.get())) {
       pushOverflow(lane, std::move(owned));
     } else {
@@ -62,22 +74,27 @@
     wake();
   }
 
-  /// Adds an event unless the overflow list of the lane is full.
+  /// Adds an event unless the overflow list of the lane is full, or the lane holds events and would hold more than
+  /// twice its bytes.
   /// @return false when the event was refused
-  bool pushUnlessFull(std::size_t aLane, Event aEvent)
+  bool pushUnlessFull(std::size_t aLane, Event aEvent, std::size_t aBytes = 0)
   {
-    if (mLanes[aLane]->overflowSize.load(std::memory_order_relaxed) >= mOverflowLimit) {
+    const auto& lane = *mLanes[aLane];
+    const auto held = lane.bytes.load(std::memory_order_relaxed);
+    if (lane.overflowSize.load(std::memory_order_relaxed) >= mOverflowLimit ||
+        (held > 0 && held + aBytes > 2 * mByteLimit)) {
       mRefused.fetch_add(1, std::memory_order_relaxed);
       return false;
     }
-    push(aLane, std::move(aEvent));
+    push(aLane, std::move(aEvent), aBytes);
     return true;
   }
 
-  /// @return whether the lane overflows; its producer should stop reading from sockets
+  /// @return whether the lane overflows or holds too many bytes; its producer should stop reading from sockets
   bool congested(std::size_t aLane) const noexcept
   {
-    return mLanes[aLane]->overflowing.load(std::memory_order_relaxed);
+    const auto& lane = *mLanes[aLane];
+    return lane.overflowing.load(std::memory_order_relaxed) || lane.bytes.load(std::memory_order_relaxed) >= mByteLimit;
   }
 
   /// Takes all events that are there now, in the order of each lane.
@@ -106,10 +123,26 @@
     return waiting;
   }
 
+  /// @return bytes that the waiting events stated
+  std::size_t bytes() const noexcept
+  {
+    std::size_t held = 0;
+    for (const auto& lane : mLanes) {
+      held += lane->bytes.load(std::memory_order_relaxed);
+    }
+    return held;
+  }
+
   /// @return events refused by pushUnlessFull()
   std::size_t refused() const noexcept { return mRefused.load(std::memory_order_relaxed); }
 
 private:
+  struct Item
+  {
+    Event event;
+    std::size_t bytes = 0;
+  };
+
   struct Lane
   {
     explicit Lane(std::size_t aCapacity)
@@ -118,14 +151,22 @@
     }
 
     // Holds owned pointers, because spsc_queue of this Boost version copies on push.
-    boost::lockfree::spsc_queue<Event*> ring;
+    boost::lockfree::spsc_queue<Item*> ring;
     std::atomic<bool> overflowing{ false };
     std::atomic<std::size_t> overflowSize{ 0 };
     std::mutex mutex;
-    std::deque<std::unique_ptr<Event>> overflow;
+    std::deque<std::unique_ptr<Item>> overflow;
+    std::atomic<std::size_t> bytes{ 0 };
   };
 
-  void pushOverflow(Lane& aLane, std::unique_ptr<Event> aEvent)
+  template<typename Handler>
+  static void take(Lane& aLane, Item& aItem, Handler& aHandler)
+  {
+    aLane.bytes.fetch_sub(aItem.bytes, std::memory_order_relaxed);
+    aHandler(std::move(aItem.event));
+  }
+
+  void pushOverflow(Lane& aLane, std::unique_ptr<Item> aEvent)
   {
     const std::scoped_lock lock(aLane.mutex);
     // The reader may have taken the overflow list since the check, in which case the ring has room again.
@@ -141,28 +182,28 @@
   template<typename Handler>
   std::size_t drainRing(Lane& aLane, Handler& aHandler)
   {
-    return aLane.ring.consume_all([&aHandler](Event* aEvent) {
-      const std::unique_ptr<Event> owned(aEvent);
-      aHandler(std::move(*owned));
+    return aLane.ring.consume_all([&aLane, &aHandler](Item* aItem) {
+      const std::unique_ptr<Item> owned(aItem);
+      take(aLane, *owned, aHandler);
     });
   }
 
   template<typename Handler>
   std::size_t drainOverflow(Lane& aLane, Handler& aHandler)
   {
-    std::deque<std::unique_ptr<Event>> taken;
+    std::deque<std::unique_ptr<Item>> taken;
     {
       const std::scoped_lock lock(aLane.mutex);
       // While `overflowing` is set the producer leaves the ring alone, so all of it is older than the list.
-      aLane.ring.consume_all([&taken](Event* aEvent) { taken.emplace_back(aEvent); });
+      aLane.ring.consume_all([&taken](Item* aItem) { taken.emplace_back(aItem); });
       std::ranges::move(aLane.overflow, std::back_inserter(taken));
       aLane.overflow.clear();
       aLane.overflowSize.store(0, std::memory_order_relaxed);
       aLane.overflowing.store(false, std::memory_order_release);
     }
     // Handled without the lock, since a handler may push to this lane.
-    for (auto& event : taken) {
-      aHandler(std::move(*event));
+    for (auto& item : taken) {
+      take(aLane, *item, aHandler);
     }
     return taken.size();
   }
@@ -175,6 +216,7 @@
   }
 
   std::size_t mOverflowLimit;
+  std::size_t mByteLimit;
   std::function<void()> mWake;
   std::vector<std::unique_ptr<Lane>> mLanes;
   std::atomic<bool> mWakePending{ false };
--- a/include/rhubarbarch/net/peer_network.h
+++ b/include/rhubarbarch/net/peer_network.h
@@ -28,7 +28,12 @@
   Duration handshakeTimeout{ 3000 }; ///< from the opened connection to both proofs
   Duration firstBackOff{ 100 };      ///< doubles up to `longestBackOff`; each wait is drawn from its upper half
   Duration longestBackOff{ 3000 };
-  std::size_t maxQueueBytes = std::size_t{ 16 } * 1024 * 1024; ///< over it the connection is closed and replaced
+  /// Bytes queued for one peer over which its connection is closed and replaced. A larger frame is sent when nothing
+  /// else is queued.
+  std::size_t maxQueueBytes = std::size_t{ 4 } * 1024 * 1024;
+  /// Bytes queued for all peers together, over which the connection with the longest queue is closed and replaced. As
+  /// much again may be held by writes in progress, together less than a fifth of the smallest machine's memory (88 MB).
+  std::size_t maxQueuedBytes = std::size_t{ 8 } * 1024 * 1024;
   std::size_t maxUnprovenLinks = 256;
 };
 
--- a/src/daemon/gateway_part.cpp
+++ b/src/daemon/gateway_part.cpp
@@ -71,13 +71,15 @@
     : mProcess(aProcess)
     , mServer(mThread.context, gatewayServerOptions(aProcess), callerEvents())
     , mReadyServer(mThread.context, readyServerOptions(aProcess), readyEvents())
-    , mInbox(kLaneCount,
-             kRingEvents,
-             kOverflowMessages,
-             [this] {
-               boost::asio::post(mThread.context,
-                                 [this] { mInbox.drain([this](gateway::Event&& aEvent) { handle(aEvent); }); });
-             })
+    , mInbox(
+        kLaneCount,
+        kRingEvents,
+        kOverflowMessages,
+        [this] {
+          boost::asio::post(mThread.context,
+                            [this] { mInbox.drain([this](gateway::Event&& aEvent) { handle(aEvent); }); });
+        },
+        kInboxBytes)
     , mTimer(mThread.context)
     , mRole(gatewayOptions(aProcess.settings, aProcess.endpoint),
             aProcess.boot,
--- a/src/daemon/peer_part.cpp
+++ b/src/daemon/peer_part.cpp
@@ -8,7 +8,7 @@
 PeerPart::PeerPart(Process& aProcess)
   : mProcess(aProcess)
   , mNetwork(options(), events())
-  , mCommands(kLaneCount, kRingEvents, kOverflowMessages, [this] { mNetwork.post([this] { drain(); }); })
+  , mCommands(kLaneCount, kRingEvents, kOverflowMessages, [this] { mNetwork.post([this] { drain(); }); }, kInboxBytes)
 {
   mProcess.dispatcher.peers = &mCommands;
 }
@@ -101,6 +101,7 @@
 {
   auto metrics = mNetwork.metrics();
   metrics.push_back({ "rhubarbarch_ring_events", "role=\"peers\"", static_cast<double>(mCommands.depth()) });
+  metrics.push_back({ "rhubarbarch_ring_bytes", "role=\"peers\"", static_cast<double>(mCommands.bytes()) });
   metrics.push_back({ "rhubarbarch_ring_refused_total", "role=\"peers\"", static_cast<double>(mCommands.refused()) });
   return metrics;
 }
--- a/src/daemon/role_dispatcher.cpp
+++ b/src/daemon/role_dispatcher.cpp
@@ -1,5 +1,7 @@
 #include "role_dispatcher.h"
 
+#include "rhubarbarch/wire/message_size.h"
+
 #include <utility>
 
 namespace rhubarbarch::daemon {
@@ -12,27 +14,31 @@
   if (envelope.to.instance == mInstance) {
     deliver(lane, std::move(envelope));
   } else {
-    peers->pushUnlessFull(lane, std::move(envelope));
+    const auto bytes = approximateBytes(envelope.message);
+    peers->pushUnlessFull(lane, std::move(envelope), bytes);
   }
 }
 
 void
 RoleDispatcher::deliver(Lane aLane, Envelope aEnvelope)
 {
+  const auto bytes = approximateBytes(aEnvelope.message);
   // The settings of others may name a process without a disk as a controller; its relay passes on what it gets as one.
   const bool asController = aEnvelope.to.role == Role::kController && controller == nullptr;
   const bool forRelay = relay != nullptr && (aEnvelope.to.role == Role::kAgent || asController);
   if (aEnvelope.to.role == Role::kRouter && gateway != nullptr) {
-    gateway->pushUnlessFull(aLane, router::PeerMessage{ std::move(aEnvelope.from), std::move(aEnvelope.message) });
+    gateway->pushUnlessFull(
+      aLane, router::PeerMessage{ std::move(aEnvelope.from), std::move(aEnvelope.message) }, bytes);
   } else if (aEnvelope.to.role == Role::kRouter && router != nullptr) {
-    router->pushUnlessFull(aLane, router::PeerMessage{ std::move(aEnvelope.from), std::move(aEnvelope.message) });
+    router->pushUnlessFull(
+      aLane, router::PeerMessage{ std::move(aEnvelope.from), std::move(aEnvelope.message) }, bytes);
   } else if (forRelay) {
-    relay->pushUnlessFull(aLane, router::PeerMessage{ std::move(aEnvelope.from), std::move(aEnvelope.message) });
+    relay->pushUnlessFull(aLane, router::PeerMessage{ std::move(aEnvelope.from), std::move(aEnvelope.message) }, bytes);
   } else if (aEnvelope.to.role == Role::kAgent && agent != nullptr) {
-    agent->pushUnlessFull(aLane, agent::PeerMessage{ std::move(aEnvelope.from), std::move(aEnvelope.message) });
+    agent->pushUnlessFull(aLane, agent::PeerMessage{ std::move(aEnvelope.from), std::move(aEnvelope.message) }, bytes);
   } else if (aEnvelope.to.role == Role::kController && controller != nullptr) {
-    controller->pushUnlessFull(aLane,
-                               controller::PeerMessage{ std::move(aEnvelope.from), std::move(aEnvelope.message) });
+    controller->pushUnlessFull(
+      aLane, controller::PeerMessage{ std::move(aEnvelope.from), std::move(aEnvelope.message) }, bytes);
   }
 }
 
@@ -84,8 +90,9 @@
 bool
 RoleDispatcher::congested(Lane aLane) const
 {
-  return (router != nullptr && router->congested(aLane)) || (agent != nullptr && agent->congested(aLane)) ||
-         (controller != nullptr && controller->congested(aLane));
+  const auto isCongested = [aLane](const auto* aInbox) { return aInbox != nullptr && aInbox->congested(aLane); };
+  return isCongested(router) || isCongested(gateway) || isCongested(agent) || isCongested(relay) ||
+         isCongested(controller);
 }
 
 std::vector<Role>
--- a/src/daemon/role_loop.h
+++ b/src/daemon/role_loop.h
@@ -43,7 +43,12 @@
     , mExecute(std::move(aExecute))
     , mWork(boost::asio::make_work_guard(mContext))
     , mTimer(mContext)
-    , mInbox(kLaneCount, kRingEvents, kOverflowMessages, [this] { boost::asio::post(mContext, [this] { step({}); }); })
+    , mInbox(
+        kLaneCount,
+        kRingEvents,
+        kOverflowMessages,
+        [this] { boost::asio::post(mContext, [this] { step({}); }); },
+        kInboxBytes)
   {
   }
 
@@ -87,12 +92,16 @@
     }
     const auto label = "role=\"" + mName + "\"";
     metrics.push_back({ "rhubarbarch_ring_events", label, static_cast<double>(mInbox.depth()) });
+    metrics.push_back({ "rhubarbarch_ring_bytes", label, static_cast<double>(mInbox.bytes()) });
     metrics.push_back({ "rhubarbarch_ring_refused_total", label, static_cast<double>(mInbox.refused()) });
     return metrics;
   }
 
 private:
   static constexpr Duration kPublishPeriod{ 500 };
+  /// Events whose actions are executed together. After a pause thousands wait, and the answers to all of them take many
+  /// times the memory of the events.
+  static constexpr std::size_t kMaxBatch = 128;
 
   static TimePoint now() { return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now()); }
 
@@ -117,9 +126,13 @@
     if (std::exchange(mTickDue, false)) {
       events.push_back(mTick());
     }
-    for (const auto& event : events) {
-      auto actions = mRole->handle(event, now());
+    std::size_t handled = 0;
+    for (auto& event : events) {
+      auto actions = mRole->handle(std::exchange(event, Event{}), now());
       std::move(actions.begin(), actions.end(), std::back_inserter(aBatch));
+      if (++handled % kMaxBatch == 0) {
+        mExecute(std::exchange(aBatch, {}));
+      }
     }
     mExecute(std::move(aBatch));
     const auto time = std::chrono::steady_clock::now() - started;
--- a/src/net/peer_network.cpp
+++ b/src/net/peer_network.cpp
@@ -313,6 +313,30 @@
     }
   }
 
+  void dropFull(LinkId aLink)
+  {
+    const auto bytes = transport.bufferedBytes(aLink);
+    log(Severity::kWarning, "peer_queue_full", { { "peer", links[aLink].peer.instance }, { "bytes", bytes } });
+    transport.drop(aLink);
+    queuedBytes = buffered();
+  }
+
+  /// Closes the connection with the longest queue, whose peer reads least.
+  /// @return whether another connection than `aLink` was closed, or none needed to be
+  bool relieveQueues(LinkId aLink)
+  {
+    // The sum may be as old as a tick.
+    queuedBytes = buffered();
+    if (queuedBytes <= options.maxQueuedBytes) {
+      return true;
+    }
+    const auto longest =
+      std::ranges::max_element(links, {}, [this](const auto& aItem) { return transport.bufferedBytes(aItem.first); });
+    const auto dropped = longest->first;
+    dropFull(dropped);
+    return dropped != aLink;
+  }
+
   void send(const Envelope& aEnvelope)
   {
     const auto found = current.find(aEnvelope.to.instance);
@@ -327,11 +351,15 @@
       return;
     }
     const auto link = found->second;
-    if (transport.bufferedBytes(link) + frame.size() > options.maxQueueBytes) {
-      log(Severity::kWarning, "peer_queue_full", { { "peer", aEnvelope.to.instance } });
-      transport.drop(link);
+    const auto queued = transport.bufferedBytes(link);
+    if (queued > 0 && queued + frame.size() > options.maxQueueBytes) {
+      dropFull(link);
+      return;
+    }
+    if (queuedBytes > 0 && queuedBytes + frame.size() > options.maxQueuedBytes && !relieveQueues(link)) {
       return;
     }
+    queuedBytes += frame.size();
     links[link].sentAt = now();
     ++framesSent;
     bytesSent += frame.size();
--- a/tests/daemon/memory_watch_test.cpp
+++ b/tests/daemon/memory_watch_test.cpp
@@ -27,7 +27,10 @@
 {
   MemoryWatch watch{ kLimit };
 
-  bool reports(std::size_t aResident) { return watch.check(aResident, figures).has_value(); }
+  bool reports(std::size_t aResident)
+  {
+    return watch.check(aResident, figures).has_value();
+  }
 };
 
 // Guards against a process that ends at its memory limit without a line that says what held the memory.
--- a/tests/net/inbox_test.cpp
+++ b/tests/net/inbox_test.cpp
@@ -55,6 +55,31 @@
   CHECK_EQUAL(1U, inbox.refused());
 }
 
+// Guards against a thousand large messages in a ring that counts messages only.
+TEST(Inbox, isCongestedByBytes)
+{
+  Inbox<int> inbox(1, 16, 100, [] {}, 100);
+  CHECK(inbox.pushUnlessFull(0, 1, 60));
+  CHECK_FALSE(inbox.congested(0));
+  CHECK(inbox.pushUnlessFull(0, 2, 60));
+  CHECK(inbox.congested(0));
+  CHECK_FALSE(inbox.pushUnlessFull(0, 3, 100));
+  CHECK_EQUAL(120U, inbox.bytes());
+  CHECK_EQUAL(2U, take(inbox).size());
+  CHECK_EQUAL(0U, inbox.bytes());
+  CHECK_FALSE(inbox.congested(0));
+}
+
+// Guards against a message over the limit that never gets through.
+TEST(Inbox, takesOneEventOfAnySize)
+{
+  Inbox<int> inbox(1, 16, 100, [] {}, 100);
+  CHECK(inbox.pushUnlessFull(0, 1, 1000));
+  CHECK_FALSE(inbox.pushUnlessFull(0, 2, 1));
+  CHECK_EQUAL(1U, take(inbox).size());
+  CHECK(inbox.pushUnlessFull(0, 2, 1));
+}
+
 // Guards against a deadlock when the reader's own lane overflows while it is being emptied.
 TEST(Inbox, readerMayPushToItself)
 {
--- a/tests/net/peer_network_test.cpp
+++ b/tests/net/peer_network_test.cpp
@@ -377,3 +377,29 @@
   CHECK(node.awaitEvent("peer_queue_full"));
   CHECK(node.awaitEvent("peer_down"));
 }
+
+// Guards against many peers that do not read: each of their queues is within its bound, all together exceed the memory
+// of the machine.
+TEST(PeerNetwork, boundsTheQueuesOfSlowPeersTogether)
+{
+  constexpr std::size_t kTogether = std::size_t{ 512 } * 1024;
+  Node node("node", [](PeerOptions& aOptions) { aOptions.maxQueuedBytes = kTogether; });
+  std::vector<std::unique_ptr<RawPeer>> peers;
+  for (const auto* name : { "peer-1", "peer-2", "peer-3" }) {
+    peers.push_back(std::make_unique<RawPeer>(name));
+    auto& peer = *peers.back();
+    peer.connect(node.network->port());
+    CHECK(node.awaitUp(name));
+    peer.transport->post([&peer] { peer.transport->pauseReading(peer.seen.copy().link); });
+  }
+  const auto deadline = std::chrono::steady_clock::now() + kTestLimit;
+  while (!logged(node.seen.copy(), "peer_queue_full") && std::chrono::steady_clock::now() < deadline) {
+    for (const auto* name : { "peer-1", "peer-2", "peer-3" }) {
+      auto envelope = message("node", name, kTogether / 8);
+      envelope.from.role = Role::kRouter;
+      node.send(envelope);
+    }
+    std::this_thread::yield();
+  }
+  CHECK(node.awaitEvent("peer_queue_full"));
+}
