Keep as many voters as the tolerated loss of disks needs

A group gave up silent voters down to three, whatever a deployment tolerates.

The number of losses comes from the platform's Tolerate or the setting controller.losses_tolerated; twice as many voters and one stay. OpenMembership.keepsTheVotersThatTheToleratedLossesNeed guards it.

--- a/include/rhubarbarch/consensus/replica.h
+++ b/include/rhubarbarch/consensus/replica.h
@@ -23,6 +23,7 @@
   /// Instances that `controllers` does not name may join, and a new one takes the place of a voter that stays silent.
   /// `controllers` then only holds the first contacts, and the founders when the group is founded.
   bool openMembership = false;
+  std::size_t lossesTolerated = 1; ///< instances that may lose their disks at the same time
   Duration heartbeat{ 100 };
   Duration electionTimeout{ 600 }; ///< a random part of up to the same length is added
   std::size_t maxEntriesPerAppend = 256;
--- a/include/rhubarbarch/settings/settings.h
+++ b/include/rhubarbarch/settings/settings.h
@@ -56,6 +56,7 @@
   bool bootstrap = false;               ///< may found a new group when the data folder is empty
   std::optional<Endpoint> platformList; ///< serves `GET /instances`
   Duration versionLoadTime{ 60'000 };   ///< time to load one version from the weight store
+  std::uint32_t lossesTolerated = 1;    ///< controllers that may lose their disks at the same time
   std::uint32_t parallelLoads = 2;      ///< loads that the weight store serves at full rate at once
   Duration moveWatchTime{ 60'000 };     ///< how long a new version at full share is watched before the move is done
   bool openMembership = false;          ///< see consensus::ReplicaOptions
--- a/src/consensus/membership.cpp
+++ b/src/consensus/membership.cpp
@@ -24,8 +24,6 @@
 /// A voter that nobody replaces leaves after this many election timeouts of silence, so that the others need no reply
 /// of it; it asks to join when it is back.
 constexpr int kVoterSilence = 8;
-/// Voters that a group keeps however long one of them is silent.
-constexpr std::ptrdiff_t kFewestVoters = 3;
 /// Largest term in which a group starts.
 constexpr std::uint64_t kMaxFoundingTerm = 1U << 20U;
 
@@ -65,6 +63,14 @@
   return found == members.end() ? std::nullopt : std::optional(*found);
 }
 
+/// Voters that a group keeps however long one of them is silent: with fewer, the disks that may be lost at the same
+/// time could be a majority.
+std::ptrdiff_t
+fewestVoters(const Core& aCore)
+{
+  return static_cast<std::ptrdiff_t>(2 * std::max<std::size_t>(aCore.options.lossesTolerated, 1) + 1);
+}
+
 std::ptrdiff_t
 voterCount(const Members& aMembers)
 {
@@ -139,7 +145,7 @@
 removalOfSilentVoter(const Core& aCore, TimePoint aNow)
 {
   const auto& members = currentMembers(aCore.log);
-  if (!aCore.options.openMembership || voterCount(members) <= kFewestVoters) {
+  if (!aCore.options.openMembership || voterCount(members) <= fewestVoters(aCore)) {
     return std::nullopt;
   }
   const auto silent = onlySilentVoter(aCore, kVoterSilence * aCore.options.electionTimeout, aNow);
--- a/src/daemon/role_options.cpp
+++ b/src/daemon/role_options.cpp
@@ -76,6 +76,7 @@
   options.replica.controllers = controllerNames(aSettings);
   options.replica.bootstrap = aSettings.controllerSettings.bootstrap;
   options.replica.openMembership = aSettings.controllerSettings.openMembership;
+  options.replica.lossesTolerated = aSettings.controllerSettings.lossesTolerated;
   options.dataCentres = aSettings.dataCentres;
   options.gateways.readUpstreams = aSettings.upstreamList.has_value();
   options.moves.loadTime = aSettings.controllerSettings.versionLoadTime;
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -85,6 +85,8 @@
     aSettings.platformList = platform;
   }
   reader.optionalMs("version_load_time_ms", aSettings.versionLoadTime);
+  reader.optional("losses_tolerated", aSettings.lossesTolerated);
+  reader.check("losses_tolerated", aSettings.lossesTolerated >= 1, "must be at least 1");
   reader.optional("parallel_loads", aSettings.parallelLoads);
   reader.check("parallel_loads", aSettings.parallelLoads >= 1, "must be at least 1");
   reader.optionalMs("move_watch_time_ms", aSettings.moveWatchTime);
--- a/tests/consensus/open_membership_test.cpp
+++ b/tests/consensus/open_membership_test.cpp
@@ -65,6 +65,13 @@
     return *std::ranges::find(cluster.nodes, aName, &ClusterNode::name);
   }
 
+  InstanceId aRunningFollower()
+  {
+    return std::ranges::find_if(cluster.nodes,
+                                [](const auto& aNode) { return aNode.replica && !aNode.replica->isLeader(); })
+      ->name;
+  }
+
   InstanceId aFollower()
   {
     return std::ranges::find_if(cluster.nodes, [](const auto& aNode) { return !aNode.replica->isLeader(); })->name;
@@ -126,3 +133,23 @@
   cluster.run(2000);
   CHECK_EQUAL(3U, voters(*cluster.leader()->replica));
 }
+
+// Guards against a group that gives up silent voters until the disks that a deployment may lose at once are a majority:
+// after such a loss no leader could be elected, and all requests would be refused for good.
+TEST(OpenMembership, keepsTheVotersThatTheToleratedLossesNeed)
+{
+  for (auto& node : cluster.nodes) {
+    node.options.lossesTolerated = 2;
+    cluster.boot(node);
+  }
+  CHECK(cluster.runUntil([this] { return cluster.settled(); }));
+  for (const auto* name : { "c7", "c8", "c9" }) {
+    add(name, leaderName());
+    CHECK(cluster.runUntil([&] { return cluster.leader() != nullptr && isVoter(*cluster.leader()->replica, name); }));
+  }
+  for (const std::size_t expected : { 5U, 5U }) {
+    cluster.crash(node(aRunningFollower()));
+    cluster.run(2000);
+    CHECK_EQUAL(expected, voters(*cluster.leader()->replica));
+  }
+}
--- a/tests/platform/node_file_test.cpp
+++ b/tests/platform/node_file_test.cpp
@@ -62,6 +62,15 @@
   STRCMP_EQUAL("/data/x", settings.dataFolder.c_str());
 }
 
+// Guards against a group that gives up voters although more disks may be lost at once than it then bears.
+TEST(NodeFile, decodesTheToleratedLosses)
+{
+  node["Serves"] = { "control" };
+  CHECK_EQUAL(1U, decodeNodeFile(node.dump()).value().controllerSettings.lossesTolerated);
+  node["Tolerate"] = { { "Machines", 2 }, { "Zones", 0 }, { "Regions", 0 } };
+  CHECK_EQUAL(2U, decodeNodeFile(node.dump()).value().controllerSettings.lossesTolerated);
+}
+
 // Guards against a machine without a disk, which the platform counts among the controllers, ending at each start.
 TEST(NodeFile, decodesAControllerWithoutADisk)
 {
