Bound the unfinished answers of all requests together

It could happen here: an answer that is forwarded only when complete was bounded by 4 MB for each request, and by nothing for all of them.

A gateway now counts what it has gathered of answers and events that are not complete.

--- a/include/rhubarbarch/gateway/options.h
+++ b/include/rhubarbarch/gateway/options.h
@@ -43,8 +43,11 @@
   std::size_t windowBytes = 262144;       ///< undelivered answer of one request, in bytes; reading pauses above it
   std::size_t maxAnswerBytes = 4U << 20U; ///< of an answer other than a stream; a longer one fails the attempt
   std::size_t maxEventBytes = 1U << 20U;  ///< of one event of a stream; a longer one fails the attempt
-  std::size_t maxRequests = 2048;         ///< requests held at once
-  std::size_t maxHeldBytes = 48U << 20U;  ///< bodies and undelivered answers of all requests
+  /// Answers, and events of streams, that are gathered until they are complete, of all requests together. Over it the
+  /// attempt that has gathered most is given up: a faulty upstream may send bytes without end to many requests at once.
+  std::size_t maxGatheredBytes = 12U << 20U;
+  std::size_t maxRequests = 2048;        ///< requests held at once
+  std::size_t maxHeldBytes = 48U << 20U; ///< bodies and undelivered answers of all requests
 
   // Retries, summed over the fleet and any window of length retryWindow
   double retryRatio = 0.2;     ///< retries per request of a service
--- a/src/controller/controller_role.cpp
+++ b/src/controller/controller_role.cpp
@@ -142,9 +142,9 @@
   LogIndex compactedIndex{};
   Term leadTerm{};
   bool leading = false;
-  bool caughtUp = false;  ///< an entry of this leadership is applied, so the state includes all earlier commits
+  bool caughtUp = false;      ///< an entry of this leadership is applied, so the state includes all earlier commits
   LogIndex reportedMembers{}; ///< index of the members that were logged last
-  TimePoint stalledSince; ///< start of the stall or its last report; time of the last tick while there is none
+  TimePoint stalledSince;     ///< start of the stall or its last report; time of the last tick while there is none
   std::optional<TimePoint> shutdownAt;
   bool stopped = false;
   bool failed = false;
--- a/src/daemon/role_options.cpp
+++ b/src/daemon/role_options.cpp
@@ -18,6 +18,9 @@
 // account holds it.
 constexpr std::size_t kOperatorBodyDivisor = 8;
 
+// Part of the bytes held for callers that answers may take until they are complete. Usual ones have some kilobytes.
+constexpr std::size_t kGatheredDivisor = 4;
+
 std::size_t
 operatorBodyLimit(const settings::Settings& aSettings)
 {
@@ -95,6 +98,8 @@
   options.controllers = controllerNames(aSettings);
   options.relayPort = aSettings.gatewaySettings.relayPort;
   options.maxHeldBytes = aSettings.caller.maxHeldBytes;
+  // One answer of the largest size has to fit.
+  options.maxGatheredBytes = std::max(aSettings.caller.maxHeldBytes / kGatheredDivisor, options.maxAnswerBytes);
   options.retryRatio = aSettings.gatewaySettings.retryRatio;
   options.retrySlack = aSettings.gatewaySettings.retrySlack;
   options.retryWindow = aSettings.gatewaySettings.retryWindow;
--- a/src/gateway/attempts.cpp
+++ b/src/gateway/attempts.cpp
@@ -355,6 +355,20 @@
   return wanted;
 }
 
+/// Gives up the attempts that have gathered most until the rest is within its bound.
+void
+limitGathered(State& aState)
+{
+  while (aState.gatheredBytes > aState.options.maxGatheredBytes) {
+    const auto most = std::ranges::max_element(
+      aState.requests, {}, [](const auto& aItem) { return aItem.second.attempt ? aItem.second.gathered : 0; });
+    if (!most->second.attempt) {
+      return;
+    }
+    failAttempt(aState, most->second, "unfinished answers exceed the memory for them", true, true);
+  }
+}
+
 /// @return whether another engine will probably answer in time and clearly sooner than the silent one. One that
 /// answers other calls is probably reading the prompt; then the other one must not have to read more.
 bool
@@ -512,6 +526,14 @@
   aState.actions.emplace_back(makeCall(aState, aRequest, upstream));
 }
 
+void
+countGathered(State& aState, Request& aRequest)
+{
+  const auto gathered = aRequest.body.size() + aRequest.stream.heldBytes();
+  aState.gatheredBytes += gathered;
+  aState.gatheredBytes -= std::exchange(aRequest.gathered, gathered);
+}
+
 void
 endAttempt(State& aState, Request& aRequest, bool aCancel)
 {
@@ -531,9 +553,11 @@
   }
   aState.exchanges.erase(attempt.exchange);
   aRequest.attempt.reset();
-  aRequest.body.clear();
+  // Gives the memory back, which a clear would keep for the next attempt.
+  aRequest.body = {};
   aRequest.paused = false;
   aRequest.stream.discardPartial();
+  countGathered(aState, aRequest);
   if (!aRequest.stream.lastId().empty()) {
     aRequest.stream.expectNext();
   }
@@ -610,6 +634,11 @@
       failAttempt(aState, *request, "answer exceeds the size limit", true, true);
     }
   }
+  // The request may have ended.
+  if (auto* remaining = findRequest(aState, aData.exchange)) {
+    countGathered(aState, *remaining);
+    limitGathered(aState);
+  }
 }
 
 void
--- a/src/gateway/finish.cpp
+++ b/src/gateway/finish.cpp
@@ -164,6 +164,7 @@
     release(aState, request);
   }
   aState.heldBytes -= request.call.body->size();
+  aState.gatheredBytes -= request.gathered;
   aState.requests.erase(found);
 }
 
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -156,6 +156,7 @@
     { "rhubarbarch_gateway_link_connect_timeouts_total", "", number(state.shortage.timeouts) },
     { "rhubarbarch_gateway_link_queued_bytes", "", state.shortage.queuedBytes },
     { "rhubarbarch_gateway_held_bytes", "", number(state.heldBytes) },
+    { "rhubarbarch_gateway_gathered_bytes", "", number(state.gatheredBytes) },
     { "rhubarbarch_gateway_upstreams", "", number(state.upstreams.byId.size()) },
     { "rhubarbarch_gateway_routing_version", "", number(state.index ? state.index->table.version : 0) }
   };
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -78,6 +78,7 @@
   bool headSent = false;
   EventStream stream;
   std::string body;              ///< of an answer that is forwarded only when complete
+  std::size_t gathered = 0;      ///< bytes of `body` and of an incomplete event that are counted in the state's sum
   std::uint64_t undelivered = 0; ///< bytes of the answer not yet written to the caller's socket
   bool paused = false;
 };
@@ -174,7 +175,8 @@
   std::map<CallerId, Request> requests;
   std::map<ExchangeId, CallerId> exchanges;
   std::uint64_t lastExchange = 0;
-  std::size_t heldBytes = 0; ///< request bodies of all requests
+  std::size_t heldBytes = 0;     ///< request bodies of all requests
+  std::size_t gatheredBytes = 0; ///< of answers that are not complete, of all requests
   LoopState loop;
   LocalShortage shortage;
   std::optional<TimePoint> leavingSince;
@@ -312,6 +314,9 @@
 onEnd(State& aState, const UpstreamEnd& aEnd);
 void
 onError(State& aState, const UpstreamError& aError);
+/// Counts what the request has gathered of its answer.
+void
+countGathered(State& aState, Request& aRequest);
 /// Removes the current attempt, if any, and its load on the upstream.
 /// @param aCancel also cancel the call to the upstream
 void
--- a/tests/gateway/requests_test.cpp
+++ b/tests/gateway/requests_test.cpp
@@ -314,6 +314,36 @@
   CHECK(first.upstreamId != fleet.takeOne<StartCall>().upstreamId);
 }
 
+// Guards against a faulty upstream that sends bytes without end to many requests at once: each answer is within its own
+// bound, and all together end the process at its memory limit.
+TEST(GatewayRequests, boundsTheUnfinishedAnswersOfAllRequests)
+{
+  constexpr std::size_t kPart = std::size_t{ 1 } << 20U;
+  const auto limit = Fixture::options().maxGatheredBytes;
+  std::vector<StartCall> calls;
+  for (std::size_t i = 0; i < 2 * limit / kPart; ++i) {
+    fleet.call("/order/" + std::to_string(i));
+    calls.push_back(fleet.takeOne<StartCall>());
+    fleet.head(calls.back().exchange, 200);
+  }
+  const std::string bytes(kPart, 'x');
+  for (const auto& call : calls) {
+    fleet.handle(UpstreamData{ call.exchange, bytes });
+  }
+  const auto given = fleet.take<CancelCall>().size();
+  CHECK_COMPARE((calls.size() - given) * kPart, <=, limit);
+  CHECK_COMPARE(given, <, calls.size());
+  // An ordinary request is served meanwhile: its answer is not the longest one.
+  fleet.clearActions();
+  const auto caller = fleet.call("/order/last");
+  const auto last = fleet.takeOne<StartCall>();
+  fleet.head(last.exchange, 200);
+  fleet.handle(UpstreamData{ last.exchange, "done" });
+  fleet.handle(UpstreamEnd{ last.exchange });
+  CHECK(std::ranges::any_of(fleet.take<ReplyBody>(),
+                            [&](const auto& aEach) { return aEach.caller == caller && aEach.data == "done"; }));
+}
+
 // Guards against an endless event in a stream, and against losing complete events that arrive together with its start.
 TEST(GatewayRequests, leavesAnEventWithoutEnd)
 {
--- a/tests/resources/platform_fleet.h
+++ b/tests/resources/platform_fleet.h
@@ -86,6 +86,20 @@
   aServer.reply(router::ReplyEnd{ aRequest.caller });
 }
 
+/// Sends a part of an answer that has no stated length and never ends.
+inline void
+sendWithoutEnd(net::HttpServer& aServer, const router::CallerRequest& aRequest, std::size_t aBytes)
+{
+  const auto id = std::ranges::find(aRequest.fields, "X-Request-Id", &HttpField::name);
+  router::ReplyHead head;
+  head.caller = aRequest.caller;
+  head.chunked = true;
+  head.fields = { { "X-Request-Id", id == aRequest.fields.end() ? "" : id->value },
+                  { "X-Response-Signature", "signed" } };
+  aServer.reply(head);
+  aServer.reply(router::ReplyBody{ aRequest.caller, std::string(aBytes, 'x') });
+}
+
 /// Limits of the processes and of their callers, lowered so that a small load exceeds them.
 struct FleetLimits
 {
@@ -136,7 +150,9 @@
     mUpstream =
       std::make_unique<StandIn>(mUpstreamPort, [this](net::HttpServer& aServer, const router::CallerRequest& aRequest) {
         ++mCalls;
-        if (!aRequest.target.starts_with("/a/hold")) {
+        if (aRequest.target.starts_with("/a/endless")) {
+          sendWithoutEnd(aServer, aRequest, kEndlessBytes);
+        } else if (!aRequest.target.starts_with("/a/hold")) {
           sendAnswer(aServer, aRequest, "done");
         }
       });
@@ -215,6 +231,9 @@
   }
 
 private:
+  /// Half of the largest answer that a gateway takes.
+  static constexpr std::size_t kEndlessBytes = std::size_t{ 2 } << 20U;
+
   static bool isFree(std::uint16_t aPort)
   {
     const int handle = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
--- a/tests/resources/resources_test.cpp
+++ b/tests/resources/resources_test.cpp
@@ -231,6 +231,16 @@
   checkGateway();
 }
 
+// Guards against a faulty upstream that sends bytes without end to many callers: the gateway kept them all, and the
+// requests of other callers ended with the process.
+TEST(Resources, AnswersWithoutEndToManyCallers)
+{
+  start({});
+  Crowd crowd(fleet->frontPort(), 60, { headOf("/a/endless", "Content-Length: 0\r\n"), "", 0, "" });
+  press(crowd, "gateway");
+  checkGateway();
+}
+
 // Guards against a bound that refuses a caller inside the limits on the smallest machine.
 TEST(Resources, LargestBodyOnTheSmallestMachine)
 {
