Answer everything before a planned stop ends, and take nothing that outlasts it

Calls are now taken only if their deadline or their route's timeout, whichever is sooner, ends before the stop; others get 503 with a short Retry-After, for another gateway. What is open at the end, such as a stream that came in time, is failed with 504, or 503 if it has not run, and half a second is left for these answers before the process ends.

GatewayControl.refusesCallsThatMayOutlastTheShutdown and answersWhatIsOpenBeforeItStops failed before: the late order was passed on, and no answer was sent.

--- a/include/rhubarbarch/gateway/options.h
+++ b/include/rhubarbarch/gateway/options.h
@@ -67,9 +67,10 @@
 
   // Shutdown
   Duration minDrainTime{ 2500 };       ///< a balancer that checks once a second removes a gateway after two failures
-  Duration refuseCallsAfter{ 5000 };   ///< after this time in shutdown, requests are refused as not run
+  Duration refuseCallsAfter{ 5000 };   ///< after this time in shutdown, requests are refused as not run; sooner those
+                                       ///< that may last longer than `longestLeave`
   Duration refuseStreamsAfter{ 2900 }; ///< for streams, which last seconds; callers expect 3 s, less a round trip
-  Duration longestLeave{ 7000 };       ///< after this time, requests in progress are aborted
+  Duration longestLeave{ 7000 };       ///< after this time, requests in progress are failed
 };
 
 } // namespace rhubarbarch::gateway
--- a/src/daemon/role_options.cpp
+++ b/src/daemon/role_options.cpp
@@ -18,6 +18,8 @@
 // account holds it.
 constexpr std::size_t kOperatorBodyDivisor = 8;
 
+// Before the end of a shutdown: for the last answers to leave a gateway.
+constexpr Duration kLastAnswersTime{ 500 };
 // Part of the bytes held for callers that answers may take until they are complete. Usual ones have some kilobytes.
 constexpr std::size_t kGatheredDivisor = 4;
 
@@ -104,7 +106,7 @@
   options.retrySlack = aSettings.gatewaySettings.retrySlack;
   options.retryWindow = aSettings.gatewaySettings.retryWindow;
   options.linkRate = aSettings.gatewaySettings.linkRate;
-  options.longestLeave = std::min(options.longestLeave, aSettings.shutdownTimeout);
+  options.longestLeave = std::min(options.longestLeave, aSettings.shutdownTimeout - kLastAnswersTime);
   return options;
 }
 
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -44,6 +44,7 @@
   const bool done = leavingFor >= aState.options.minDrainTime && aState.requests.empty() && reportedAll(aState);
   if (done || leavingFor >= aState.options.longestLeave) {
     aState.stopped = true;
+    endAll(aState);
     aState.actions.emplace_back(Stopped{});
   }
 }
--- a/src/gateway/requests.cpp
+++ b/src/gateway/requests.cpp
@@ -69,14 +69,29 @@
   return std::nullopt;
 }
 
-/// Refuses requests that a gateway that is shutting down could not finish. Once it has stopped, the process may end at
-/// any moment.
+/// @return the longest time from its arrival that the request may take: the caller's deadline or the route's timeout
+Duration
+longestTime(const Request& aRequest)
+{
+  const Duration timeout(aRequest.route->timeoutMs);
+  const auto deadline = aRequest.call.deadline;
+  return deadline > Duration{ 0 } ? std::min(deadline, timeout) : timeout;
+}
+
+/// Refuses requests that a gateway that is shutting down could not finish: calls that may last until it stops, and
+/// streams that come late. Once it has stopped, the process may end at any moment.
 std::optional<RequestError>
 checkLeaving(const State& aState, const Request& aRequest)
 {
+  if (!aState.leavingSince && !aState.stopped) {
+    return std::nullopt;
+  }
+  const auto leavingFor = aState.now - aState.leavingSince.value_or(aState.now);
   const bool streams = aRequest.route->kind == CallKind::kStream;
-  const auto last = streams ? aState.options.refuseStreamsAfter : aState.options.refuseCallsAfter;
-  if (aState.stopped || (aState.leavingSince && aState.now - *aState.leavingSince >= last)) {
+  const bool late = streams ? leavingFor >= aState.options.refuseStreamsAfter
+                            : leavingFor >= aState.options.refuseCallsAfter ||
+                                leavingFor + longestTime(aRequest) > aState.options.longestLeave;
+  if (aState.stopped || late) {
     return RequestError{ 503, "shutting_down", kElsewhereRetryAfter };
   }
   return std::nullopt;
@@ -102,10 +117,7 @@
 void
 setExpiry(Request& aRequest)
 {
-  aRequest.expiresAt = aRequest.arrivedAt + Duration(aRequest.route->timeoutMs);
-  if (aRequest.call.deadline > Duration{ 0 }) {
-    aRequest.expiresAt = std::min(aRequest.expiresAt, aRequest.arrivedAt + aRequest.call.deadline);
-  }
+  aRequest.expiresAt = aRequest.arrivedAt + longestTime(aRequest);
 }
 
 bool
@@ -322,6 +334,14 @@
   }
 }
 
+void
+endAll(State& aState)
+{
+  while (!aState.requests.empty()) {
+    failRequest(aState, aState.requests.begin()->first, { 504, "shutting_down", kElsewhereRetryAfter });
+  }
+}
+
 void
 requestRefill(State& aState, Request& aRequest, Tokens aTokens)
 {
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -288,6 +288,9 @@
 /// Fails expired requests, and retries attempts whose response is overdue where that is allowed.
 void
 tickRequests(State& aState);
+/// Fails all requests, because the process is about to end: each caller is told whether its request may have run.
+void
+endAll(State& aState);
 /// Reserves further tokens for a running stream; what is not free is requested from the leader.
 void
 requestRefill(State& aState, Request& aRequest, Tokens aTokens);
--- a/tests/gateway/control_test.cpp
+++ b/tests/gateway/control_test.cpp
@@ -123,6 +123,46 @@
   CHECK(fleet.take<StartCall>().empty());
 }
 
+// Guards against accepting an order late in a shutdown that its upstream may still run when the process ends.
+TEST(GatewayControl, refusesCallsThatMayOutlastTheShutdown)
+{
+  fleet.start();
+  fleet.handle(Shutdown{});
+  fleet.tick(Duration{ 1000 });
+  fleet.call("/order/0", 0, 0, Duration{ 5900 }); // keeps the gateway from stopping
+  fleet.tick(Duration{ 3500 });
+  fleet.clearActions();
+  fleet.call("/order/1", 0, 0, Duration{ 3000 });
+  const auto head = fleet.takeOne<ReplyHead>();
+  CHECK_EQUAL(503, head.httpStatus);
+  CHECK(head.retryAfter > Duration{ 0 });
+  CHECK(fleet.take<StartCall>().empty());
+  fleet.call("/order/2", 0, 0, Duration{ 2000 });
+  CHECK_EQUAL(1U, fleet.take<StartCall>().size());
+}
+
+// Guards against a shutdown that cuts what is open at its end without a word: a caller must learn whether its order may
+// have run.
+TEST(GatewayControl, answersWhatIsOpenBeforeItStops)
+{
+  fleet.table.routes[0].timeoutMs = fleet.table.routes[2].timeoutMs = 20'000;
+  fleet.start();
+  const auto order = fleet.call("/order/0", 0, 0, Duration{ 10'000 });
+  const auto review = fleet.call("/review/0", 100, 60, Duration{ 10'000 });
+  const auto stream = fleet.take<StartCall>().back();
+  fleet.head(stream.exchange, 200, true);
+  fleet.handle(UpstreamData{ stream.exchange, Fixture::event(1) });
+  fleet.handle(Shutdown{});
+  fleet.clearActions();
+  while (fleet.take<Stopped>().empty()) {
+    fleet.tick();
+  }
+  const auto head = fleet.takeOne<ReplyHead>();
+  CHECK(head.caller == order);
+  CHECK_EQUAL(504, head.httpStatus);
+  CHECK(fleet.takeOne<ReplyAbort>().caller == review);
+}
+
 // Load pattern: a balancer still sends to a leaving gateway because most gateways of its zone are leaving.
 // Guards against accepting streams that last seconds and aborting them when the process ends: observed 7.3 s after a
 // SIGTERM, with streams accepted 3.7 s after it (Cairo, restart-cut-hot, seed 581080568227).
--- a/tests/wire/message_size_test.cpp
+++ b/tests/wire/message_size_test.cpp
@@ -29,7 +29,7 @@
   GatewayState state;
   state.upstreams.resize(52);
   for (auto& upstream : state.upstreams) {
-    upstream = { "i-0123456789", "huvo11a", "10.128.0.9:8080", "zamalek" };
+    upstream = { "i-0123456789", "huvo11a", "10.128.0.9:8080", "zamalek", "v1", 64, 0, false };
   }
   GatewayPoll poll;
   poll.plans.resize(24);
