--- a/tests/net/upstream_client_test.cpp
+++ b/tests/net/upstream_client_test.cpp
@@ -136,6 +136,27 @@
   STRCMP_EQUAL("abc", seen.copy().data.c_str());
 }
 
+// Guards against an answer whose head breaks off being passed on as a whole one, at whichever byte its upstream stops:
+// a 200 with an empty or short body.
+TEST(UpstreamClient, believesNoHeadThatBreaksOff)
+{
+  start(listener.port());
+  for (const std::string fields : { "Content-Length: 4\r\n", "Transfer-Encoding: chunked\r\n", "X-Field: y\r\n" }) {
+    const auto head = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n" + fields + "\r\n";
+    for (std::size_t size = 0; size < head.size(); ++size) {
+      seen.change([](Seen& aSeen) { aSeen = {}; });
+      send(run("{}"));
+      RawSocket upstream(listener.acceptor);
+      upstream.readUntil("{}");
+      upstream.send(head.substr(0, size));
+      upstream.close();
+      CHECK(awaitFailure() == ExchangeFailure::kBroken);
+      CHECK_EQUAL(0, seen.copy().status);
+      CHECK_FALSE(seen.copy().ended);
+    }
+  }
+}
+
 // Guards against an answer without length or chunks being taken for broken when it ends with its connection, and for a
 // whole one when the connection is reset.
 TEST(UpstreamClient, answerWithoutLengthEndsWithItsConnection)
