Leave room for documents in the queues to peers

A restarted fleet gets documents of some hundred kilobytes from its leader at once; with 8 MB for all peers and as much between threads a deployment with a large configuration could have lost some of them and waited 0.8 s for the repeat. 16 MB each, still below half of the smallest machine's memory together with what writes hold.

--- a/include/rhubarbarch/net/peer_network.h
+++ b/include/rhubarbarch/net/peer_network.h
@@ -32,8 +32,9 @@
   /// else is queued.
   std::size_t maxQueueBytes = std::size_t{ 4 } * 1024 * 1024;
   /// Bytes queued for all peers together, over which the connection with the longest queue is closed and replaced. As
-  /// much again may be held by writes in progress, together less than a fifth of the smallest machine's memory (88 MB).
-  std::size_t maxQueuedBytes = std::size_t{ 8 } * 1024 * 1024;
+  /// much again may be held by writes in progress, together less than two fifths of the smallest machine's memory
+  /// (88 MB). A restarted fleet gets documents of some hundred kilobytes at once.
+  std::size_t maxQueuedBytes = std::size_t{ 16 } * 1024 * 1024;
   std::size_t maxUnprovenLinks = 256;
 };
 
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -196,7 +196,7 @@
         return;
       }
       if (auto line = memoryWatch.check(residentBytes(), [this] { return metrics(); })) {
-        log.write(std::move(*line));
+        log.write(*line);
       }
       awaitMemoryCheck();
     });
--- a/src/daemon/lanes.h
+++ b/src/daemon/lanes.h
@@ -28,9 +28,12 @@
 inline constexpr std::size_t kRingEvents = 1024;
 /// Messages from peers and between roles beyond the ring; more are dropped, since their senders repeat them.
 inline constexpr std::size_t kOverflowMessages = 16384;
-/// Bytes of messages in a lane from which on peers are not read. A process has two lanes that can fill, and what waits
-/// in them should take a small part of the smallest machine's memory (88 MB).
+/// Bytes of messages from peers in a lane from which on they are not read: a small part of the smallest machine's
+/// memory (88 MB).
 inline constexpr std::size_t kInboxBytes = std::size_t{ 4 } * 1024 * 1024;
+/// Bytes of messages to peers in a lane; twice as many are kept and further ones dropped. After a restart a leader
+/// sends documents of some hundred kilobytes to tens of gateways at once.
+inline constexpr std::size_t kOutboxBytes = 2 * kInboxBytes;
 
 /// Connect to a peer; an empty endpoint ends that.
 struct ConnectPeer
--- a/src/daemon/peer_part.cpp
+++ b/src/daemon/peer_part.cpp
@@ -8,7 +8,7 @@
 PeerPart::PeerPart(Process& aProcess)
   : mProcess(aProcess)
   , mNetwork(options(), events())
-  , mCommands(kLaneCount, kRingEvents, kOverflowMessages, [this] { mNetwork.post([this] { drain(); }); }, kInboxBytes)
+  , mCommands(kLaneCount, kRingEvents, kOverflowMessages, [this] { mNetwork.post([this] { drain(); }); }, kOutboxBytes)
 {
   mProcess.dispatcher.peers = &mCommands;
 }
--- a/src/gateway/attempts.cpp
+++ b/src/gateway/attempts.cpp
@@ -554,7 +554,7 @@
   aState.exchanges.erase(attempt.exchange);
   aRequest.attempt.reset();
   // Gives the memory back, which a clear would keep for the next attempt.
-  aRequest.body = {};
+  std::string().swap(aRequest.body);
   aRequest.paused = false;
   aRequest.stream.discardPartial();
   countGathered(aState, aRequest);
