Log how old a gateway's configuration is, and where operators are sent

A refusal did not say how long ago its table was known to be the newest, routing_in_force did not say by which path a table came, a delta to another version was dropped without a line, and controllers did not log that they sent an operator on. So the hypotheses on a late table could not be told apart.

Answers to gateways now name the latest poll that had arrived before the quorum was asked whether the leader still leads (confirmedPoll). Answers that are sent without asking it (recalls, questions about suspects) repeat the earlier one. The gateway knows when it sent that poll, so the age that it logs includes every wait on the way. Nothing is decided by it yet.

Ruled out: counting from the arrival of an answer, which may have waited in a queue, on a link or in a relay for seconds.

--- a/include/rhubarbarch/wire/gateway_messages.h
+++ b/include/rhubarbarch/wire/gateway_messages.h
@@ -111,6 +111,9 @@
   bool hasRoutingDelta = false;
   RoutingDelta routingDelta;       ///< for a gateway that holds the version `routingDelta.base`
   std::int64_t routingVersion = 0; ///< in force; zero: none yet
+  /// Latest poll of this session that had arrived when the quorum was asked whether the answering controller leads, so
+  /// `routingVersion` was in force at some time after that poll; zero: none.
+  std::uint64_t confirmedPoll = 0;
   bool hasUpstreams = false;
   std::uint64_t upstreamsRevision = 0;
   std::int64_t upstreamsAgeMs = -1; ///< since the platform's list was read; negative: never
--- a/src/controller/config.cpp
+++ b/src/controller/config.cpp
@@ -264,6 +264,7 @@
     send(aContext, pending.from, state);
   }
   for (const auto& pending : read.mapped().gatewayPolls) {
+    confirmPoll(aContext, pending.poll.session, pending.poll.number);
     answerGateway(aContext, pending.from, pending.poll);
   }
   for (const auto& show : read.mapped().shows) {
--- a/src/controller/controller_role.cpp
+++ b/src/controller/controller_role.cpp
@@ -362,6 +362,8 @@
 void
 ControllerRole::Core::refuseOperator(OperatorId aOperator)
 {
+  auto step = context();
+  log(step, "operator_sent_on", { { "leader", replica.leader() }, { "leads", leading }, { "caught_up", caughtUp } });
   actions->emplace_back(
     OperatorReply{ aOperator,
                    503,
--- a/src/controller/controllers.h
+++ b/src/controller/controllers.h
@@ -77,6 +77,9 @@
 /// Computes the sums that answers use; called once a new leader's state is complete.
 void
 initialiseGateways(Context& aContext);
+/// Records that this replica was confirmed to lead after a poll of a gateway had arrived.
+void
+confirmPoll(Context& aContext, SessionId aSession, std::uint64_t aPoll);
 /// Answers a gateway from the current state; the caller has confirmed that this replica still leads.
 void
 answerGateway(Context& aContext, const Address& aTo, const GatewayPoll& aPoll);
--- a/src/controller/gateways.cpp
+++ b/src/controller/gateways.cpp
@@ -236,6 +236,9 @@
   answer.number = aPoll.number;
   answer.session = aPoll.session;
   answer.routingVersion = aContext.state.routing.table.version;
+  if (const auto gateway = aContext.memory.gateways.find(aPoll.session); gateway != aContext.memory.gateways.end()) {
+    answer.confirmedPoll = gateway->second.confirmedPoll;
+  }
   answer.hasOthersUse = false;
   answer.evacuationsRevision = toNumber(aContext.state.evacuations.changedAt);
   answer.evacuated = aContext.state.evacuations.dataCentres;
@@ -399,6 +402,9 @@
 {
   auto& memory = aContext.memory;
   memory.reports.proposed = false;
+  for (const auto& [session, poll] : std::exchange(memory.reports.polls, {})) {
+    confirmPoll(aContext, session, poll);
+  }
   const auto& sessions = aContext.state.allowances.sessions;
   for (const auto& report : aBatch.reports) {
     if (const auto found = sessions.find(report.session); found != sessions.end()) {
@@ -436,6 +442,7 @@
     auto report = allowanceChanges(aContext, session, *gateway);
     if (!report.plans.empty()) {
       batch.reports.push_back(std::move(report));
+      queue.polls[session] = gateway->poll.number;
     } else if (waits) {
       for (const auto& from : std::exchange(gateway->pendingReplyTo, {})) {
         aContext.memory.nextRead.gatewayPolls.push_back({ from, gateway->poll });
@@ -459,6 +466,7 @@
       !isDue(aContext, queue.proposedAt, aContext.options.gateways.reportPause)) {
     return;
   }
+  queue.polls.clear();
   auto batch = takeDue(aContext);
   if (batch.reports.empty()) {
     return;
@@ -471,6 +479,14 @@
 
 } // namespace
 
+void
+confirmPoll(Context& aContext, SessionId aSession, std::uint64_t aPoll)
+{
+  if (auto* gateway = findGateway(aContext, aSession)) {
+    gateway->confirmedPoll = std::max(gateway->confirmedPoll, aPoll);
+  }
+}
+
 void
 answerGateway(Context& aContext, const Address& aTo, const GatewayPoll& aPoll)
 {
--- a/src/controller/memory.h
+++ b/src/controller/memory.h
@@ -94,6 +94,7 @@
   std::set<Address> pendingReplyTo; ///< sources of polls that have not been answered yet
   TimePoint lastSeen;
   GatewayPoll poll;                       ///< last poll, without its plans and upstreams
+  std::uint64_t confirmedPoll = 0;        ///< latest poll that came before a confirmed read or commit was asked for
   std::map<PlanId, PlanUse> uses;         ///< from the last full poll and the partial polls since then
   std::map<PlanId, TimePoint> recalledAt; ///< time of the last recall of each plan's tokens
   SentDocument routing;
@@ -107,6 +108,7 @@
 {
   std::map<SessionId, bool> due; ///< true: a poll of the session waits for an answer
   bool proposed = false;         ///< a batch is proposed but not yet applied
+  std::map<SessionId, std::uint64_t> polls; ///< latest poll of each session in the proposed batch
   TimePoint proposedAt;
   SessionId lastFirst{}; ///< first session of the last batch; the next batch starts after it
 };
--- a/src/gateway/control.cpp
+++ b/src/gateway/control.cpp
@@ -13,6 +13,13 @@
 /// Pause before the next poll when a controller reports no leader: an election is in progress.
 constexpr Duration kNoLeaderPause{ 50 };
 
+/// Polls whose times are kept. At the shortest interval (20 ms) and with a relay they reach back over two seconds; the
+/// confirmation of an older poll is not used.
+constexpr std::size_t kPollTimesKept = 256;
+
+/// Versions above the one held whose times are kept; the earliest one decides.
+constexpr std::size_t kNewerVersionsKept = 64;
+
 /// A gateway that cannot serve logs what it lacks once in this period.
 constexpr Duration kStartupReport{ 1500 };
 
@@ -57,6 +64,7 @@
     poll.plans = reportUse(aState.budgets, aState.options.allowanceWindow, poll.leaving);
     poll.upstreams = reportCalls(aState.upstreams);
   }
+  link.pollTimes.push_back({ poll.number, aState.now });
   reportLimits(aState, poll);
   reportEvidence(aState.crashes, poll, aState.now);
   return poll;
@@ -73,11 +81,15 @@
     const auto& relay = link.relays[link.polls / 2 % link.relays.size()];
     auto relayed = poll;
     relayed.number = ++link.polls;
+    link.pollTimes.push_back({ relayed.number, aState.now });
     auto sent = link.sentPolls.back();
     sent.number = relayed.number;
     link.sentPolls.push_back(std::move(sent));
     aState.actions.emplace_back(Send{ { relay, Role::kAgent }, std::move(relayed) });
   }
+  while (link.pollTimes.size() > kPollTimesKept) {
+    link.pollTimes.pop_front();
+  }
   aState.actions.emplace_back(Send{ { currentController(link), Role::kController }, std::move(poll) });
   link.polledAt = aState.now;
   link.urgent = false;
@@ -224,17 +236,67 @@
   link.current = found == link.controllers.end() ? 0 : static_cast<std::size_t>(found - link.controllers.begin());
 }
 
+/// @return when the poll was sent that an answer confirms; nothing when it confirms none of the polls that are kept
+std::optional<TimePoint>
+confirmedSince(const ControlLink& aLink, const GatewayState& aAnswer)
+{
+  const auto found = std::ranges::find(aLink.pollTimes, aAnswer.confirmedPoll, &PollTime::number);
+  return found == aLink.pollTimes.end() ? std::nullopt : std::optional(found->at);
+}
+
+/// Records what an answer says on the age of the table, after the answer's own document was applied.
 void
-updateRouting(State& aState, const RoutingTable& aTable)
+updateConfirmation(State& aState, const GatewayState& aAnswer)
+{
+  if (!aState.index) {
+    return;
+  }
+  auto& confirmation = aState.confirmation;
+  const auto held = aState.index->table.version;
+  if (aAnswer.routingVersion > held && confirmation.newer.size() < kNewerVersionsKept) {
+    confirmation.newer.try_emplace(aAnswer.routingVersion, aState.now);
+  }
+  confirmation.newer.erase(confirmation.newer.begin(), confirmation.newer.upper_bound(held));
+  const auto since = confirmedSince(aState.link, aAnswer);
+  if (since && held >= aAnswer.routingVersion && (!confirmation.at || *confirmation.at < *since)) {
+    confirmation.at = since;
+  }
+}
+
+void
+updateRouting(State& aState, const RoutingTable& aTable, const Address& aFrom)
 {
   if (aState.index && aState.index->table.version >= aTable.version) {
     return;
   }
+  const auto age = confirmationAgeMs(aState);
   aState.index = makeRouteIndex(aTable);
   updateColdUpstreams(aState);
   aState.actions.emplace_back(LimitCallers{ aTable.limits });
-  log(
-    aState, Severity::kInfo, "routing_in_force", { { "version", aTable.version }, { "routes", aTable.routes.size() } });
+  const auto& link = aState.link;
+  log(aState,
+      Severity::kInfo,
+      "routing_in_force",
+      { { "version", aTable.version },
+        { "routes", aTable.routes.size() },
+        { "confirmed_ms", age },
+        { "from", aFrom.instance },
+        { "relayed", aFrom.role != Role::kController },
+        { "unanswered_polls", link.polls - std::min(link.polls, link.answered) } });
+}
+
+void
+applyRoutingDelta(State& aState, const RoutingDelta& aDelta, const Address& aFrom)
+{
+  const auto held = aState.index ? aState.index->table.version : 0;
+  if (held == aDelta.base) {
+    updateRouting(aState, applyDelta(aState.index->table, aDelta), aFrom);
+  } else if (held < aDelta.rest.version) {
+    log(aState,
+        Severity::kWarning,
+        "routing_delta_not_applied",
+        { { "held", held }, { "base", aDelta.base }, { "version", aDelta.rest.version } });
+  }
 }
 
 void
@@ -301,10 +363,11 @@
   updateQuarantine(aState, aAnswer);
   const bool first = !aState.index;
   if (aAnswer.hasRouting) {
-    updateRouting(aState, aAnswer.routing);
-  } else if (aAnswer.hasRoutingDelta && aState.index && aState.index->table.version == aAnswer.routingDelta.base) {
-    updateRouting(aState, applyDelta(aState.index->table, aAnswer.routingDelta));
+    updateRouting(aState, aAnswer.routing, aFrom);
+  } else if (aAnswer.hasRoutingDelta && aState.index) {
+    applyRoutingDelta(aState, aAnswer.routingDelta, aFrom);
   }
+  updateConfirmation(aState, aAnswer);
   if (aAnswer.upstreamsAgeMs >= 0) {
     const auto readAt = aState.now - Duration(aAnswer.upstreamsAgeMs);
     if (aAnswer.hasUpstreams && readAt >= aState.upstreams.listedAt) {
@@ -366,6 +429,13 @@
 
 } // namespace
 
+std::int64_t
+confirmationAgeMs(const State& aState)
+{
+  const auto& at = aState.confirmation.at;
+  return at ? (aState.now - *at).count() : -1;
+}
+
 void
 onContacts(State& aState, const Contacts& aContacts)
 {
--- a/src/gateway/finish.cpp
+++ b/src/gateway/finish.cpp
@@ -49,6 +49,7 @@
         { "total_ms", (aState.now - aRequest.arrivedAt).count() },
         { "loop_delay_ms", aRequest.loopDelay.count() },
         { "routing", aRequest.index ? aRequest.index->table.version : 0 },
+        { "confirmed_ms", confirmationAgeMs(aState) },
         { "list_age_ms", (aState.now - aState.upstreams.listedAt).count() } });
 }
 
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -91,6 +91,20 @@
   std::map<std::string, std::int64_t> wanted; ///< calls requested, by upstream
 };
 
+/// When a poll was sent.
+struct PollTime
+{
+  std::uint64_t number = 0;
+  TimePoint at;
+};
+
+/// What is known of the age of the routing table.
+struct RoutingConfirmation
+{
+  std::optional<TimePoint> at;     ///< the table in force at a gateway was the newest one at this time or later
+  std::map<std::int64_t, TimePoint> newer; ///< versions above the one held, and when a leader first named them
+};
+
 /// State of the polls to the controllers.
 struct ControlLink
 {
@@ -107,6 +121,7 @@
   std::vector<std::string> relays; ///< endpoints
   std::uint64_t answered = 0;      ///< highest number of an answered poll
   std::deque<SentPoll> sentPolls;  ///< in order of their numbers
+  std::deque<PollTime> pollTimes;  ///< of polls that may still be confirmed, in order of their numbers
   RecentMaximum gateways;          ///< gateways that the leader hears
   TimePoint listRequestedAt;
 };
@@ -165,6 +180,7 @@
   TimePoint startedAt;
 
   std::shared_ptr<const RouteIndex> index; ///< null: no routing table yet
+  RoutingConfirmation confirmation;
   Upstreams upstreams;
   PlanBudgets budgets;
   RetryLimiters retries;
@@ -205,6 +221,9 @@
 /// received.
 void
 tickControl(State& aState);
+/// @return milliseconds since the routing table held was known to be the newest; -1: it never was
+std::int64_t
+confirmationAgeMs(const State& aState);
 /// Polls the leader as soon as `minPollInterval` allows, because requests wait or tokens were returned.
 void
 pollSoon(State& aState);
