Failing tests: a gateway decides by a configuration of any age

Callers saw requests refused with 401 or 404 as an older version says, more than ConfigMs after the newer one was acknowledged. The tests let a gateway's last confirmation grow older than that, by silence, by an answer that comes late, by answers that no quorum confirmed, and by a successor that never arrives. Four of six fail on the code as it stands: 404 where 503 is due, and a call where a table known to be replaced for over 2 s should decide nothing. The other two hold that a gateway without contact goes on serving, and that one which is a version behind in a series of changes does, too.

The time comes from the deployment (ConfigMs); the gateway's option is read by nothing yet. The fixture answers the polls of its start-up one by one, as a leader does, since a table that was read ten seconds ago is not confirmed.

--- a/include/rhubarbarch/gateway/options.h
+++ b/include/rhubarbarch/gateway/options.h
@@ -28,6 +28,9 @@
   Duration maxListAge{ 1500 }; ///< when the list of upstreams is older, the gateway reads it from the platform
   Duration listRetryInterval{ 1000 }; ///< interval between two such reads
 
+  /// A change is in force everywhere within this time after it was confirmed. A table that was last known to be the
+  /// newest before that decides no final refusal, and one known to be superseded for as long decides nothing.
+  Duration maxConfirmationAge{ 2000 };
   Duration maxStartupWait{ 700 }; ///< a new process holds requests without a routing table; about an election
 
   // Budgets
--- a/include/rhubarbarch/settings/settings.h
+++ b/include/rhubarbarch/settings/settings.h
@@ -72,6 +72,7 @@
   std::int64_t retrySlack = 0;
   Duration retryWindow{ 10'000 };
   double linkRate = 0; ///< bytes a second that the machine's link carries; zero: unknown
+  Duration configurationTime{ 2000 }; ///< within which a confirmed change is in force at all gateways
 };
 
 /// Settings of the caller-facing HTTP server.
--- a/src/daemon/role_options.cpp
+++ b/src/daemon/role_options.cpp
@@ -106,6 +106,7 @@
   options.retrySlack = aSettings.gatewaySettings.retrySlack;
   options.retryWindow = aSettings.gatewaySettings.retryWindow;
   options.linkRate = aSettings.gatewaySettings.linkRate;
+  options.maxConfirmationAge = aSettings.gatewaySettings.configurationTime;
   options.longestLeave = std::min(options.longestLeave, aSettings.shutdownTimeout - kLastAnswersTime);
   return options;
 }
--- /dev/null
+++ b/tests/gateway/configuration_test.cpp
@@ -0,0 +1,137 @@
+#include "fixture.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace rhubarbarch;
+using namespace rhubarbarch::gateway;
+
+namespace {
+
+/// Longer than a change may take to be in force everywhere.
+constexpr Duration kTooLong = GatewayOptions{}.maxConfirmationAge + Duration{ 100 };
+
+} // namespace
+
+TEST_GROUP(GatewayConfiguration)
+{
+  Fixture fleet;
+
+  std::int32_t statusOf(const std::string& aTarget)
+  {
+    fleet.clearActions();
+    fleet.call(aTarget);
+    return fleet.status();
+  }
+
+  std::int32_t statusWithKey(const std::string& aKey)
+  {
+    fleet.clearActions();
+    CallerCall call;
+    call.caller = CallerId{ 1000 };
+    call.requestId = "unknown-key";
+    call.method = "POST";
+    call.host = "shop.example";
+    call.target = "/order/1";
+    call.key = aKey;
+    call.body = std::make_shared<const std::string>("body");
+    call.deadline = Duration{ 3000 };
+    fleet.handle(call);
+    return fleet.status();
+  }
+
+  /// Lets time pass in which the leader answers each poll but sends no document.
+  void answerWithoutDocument(Duration aTime)
+  {
+    for (const auto end = fleet.now + aTime; fleet.now < end;) {
+      fleet.tick(GatewayOptions{}.pollPeriod);
+      auto state = fleet.state();
+      state.hasRouting = false;
+      fleet.handle(PeerMessage{ { kLeader, Role::kController }, state });
+    }
+  }
+};
+
+// Guards against refusing for good by a table that was replaced seconds ago: observed as requests that were refused as
+// an older version says, more than the 2.5 s after a newer one was acknowledged within which it has to be in force.
+TEST(GatewayConfiguration, refusesNothingForGoodByATableThatIsNotConfirmed)
+{
+  fleet.start();
+  CHECK_EQUAL(404, statusOf("/added-route/1"));
+  CHECK_EQUAL(401, statusWithKey("added-key"));
+  fleet.tick(kTooLong);
+  CHECK_EQUAL(503, statusOf("/added-route/1"));
+  CHECK_EQUAL(503, statusWithKey("added-key"));
+  fleet.tick();
+  fleet.answer();
+  CHECK_EQUAL(404, statusOf("/added-route/1"));
+  CHECK_EQUAL(401, statusWithKey("added-key"));
+}
+
+// Guards against taking the arrival of an answer for the time at which it was true: answers wait in queues, on full
+// links and in relays.
+TEST(GatewayConfiguration, countsTheAgeOfAConfirmationFromItsPoll)
+{
+  fleet.start();
+  fleet.tick();
+  const auto late = fleet.state();
+  fleet.tick(kTooLong);
+  fleet.handle(PeerMessage{ { kLeader, Role::kController }, late });
+  CHECK_EQUAL(503, statusOf("/added-route/1"));
+}
+
+// Guards against believing a leader that was deposed: some answers are sent before the quorum has confirmed it.
+TEST(GatewayConfiguration, isNotConfirmedByAnswersThatTheQuorumHasNotConfirmed)
+{
+  fleet.start();
+  const auto confirmed = fleet.polls;
+  fleet.tick(kTooLong);
+  auto unconfirmed = fleet.state();
+  unconfirmed.confirmedPoll = confirmed;
+  fleet.handle(PeerMessage{ { kLeader, Role::kController }, unconfirmed });
+  CHECK_EQUAL(503, statusOf("/added-route/1"));
+}
+
+// Guards against a gateway that is cut off from the controllers and refuses what it can serve.
+TEST(GatewayConfiguration, servesByATableThatIsNotConfirmed)
+{
+  fleet.start();
+  fleet.tick(kTooLong);
+  fleet.clearActions();
+  fleet.call("/order/1");
+  CHECK_EQUAL(1U, fleet.take<StartCall>().size());
+}
+
+// Guards against serving dropped routes and keys by a table that is known to be replaced, when its successor does not
+// arrive.
+TEST(GatewayConfiguration, servesNothingByATableThatIsKnownToBeReplacedForLong)
+{
+  fleet.start();
+  fleet.table.version = 4;
+  answerWithoutDocument(GatewayOptions{}.maxConfirmationAge / 2);
+  fleet.clearActions();
+  fleet.call("/order/1");
+  CHECK_EQUAL(1U, fleet.take<StartCall>().size());
+  answerWithoutDocument(kTooLong);
+  CHECK_EQUAL(503, statusOf("/order/1"));
+  fleet.answer();
+  fleet.clearActions();
+  fleet.call("/order/1");
+  CHECK_EQUAL(1U, fleet.take<StartCall>().size());
+}
+
+// Guards against taking a gateway that is always one version behind, in a series of changes, for one without news.
+TEST(GatewayConfiguration, servesWhileVersionsFollowOneAnother)
+{
+  fleet.start();
+  for (int change = 0; change < 20; ++change) {
+    const auto document = fleet.table;
+    ++fleet.table.version;
+    auto state = fleet.state();
+    state.routing = document;
+    fleet.tick(GatewayOptions{}.pollPeriod);
+    fleet.handle(PeerMessage{ { kLeader, Role::kController }, state });
+  }
+  fleet.clearActions();
+  fleet.call("/order/1");
+  CHECK_EQUAL(1U, fleet.take<StartCall>().size());
+}
--- a/tests/gateway/fixture.h
+++ b/tests/gateway/fixture.h
@@ -54,7 +54,12 @@
   void start(Tokens aIssued = 5000)
   {
     tick();
-    now += options().retryWindow;
+    for (const auto end = now + options().retryWindow; now < end;) {
+      now += options().pollPeriod - kTickPeriod;
+      tick();
+      answer();
+    }
+    now += options().pollPeriod / 2; // after a poll the next urgent one waits for a moment
     issued = aIssued;
     answer();
     clearActions();
@@ -72,6 +77,9 @@
   void handle(const Event& aEvent)
   {
     for (auto& action : role.handle(aEvent, now)) {
+      const auto* sent = std::get_if<Send>(&action);
+      const auto* poll = sent == nullptr ? nullptr : std::get_if<GatewayPoll>(&sent->message);
+      polls = poll == nullptr ? polls : std::max(polls, poll->number);
       actions.push_back(std::move(action));
     }
   }
@@ -87,6 +95,7 @@
     state.hasRouting = true;
     state.routing = table;
     state.routingVersion = table.version;
+    state.confirmedPoll = polls;
     state.hasUpstreams = true;
     state.upstreams = upstreams;
     state.upstreamsAgeMs = 0;
@@ -204,6 +213,7 @@
   Tokens issued = 0;
   Tokens remaining = 10000;
   bool recall = false;
+  std::uint64_t polls = 0; ///< number of the last poll sent
   TimePoint now{ Duration{ 1'000'000 } };
   GatewayRole role;
   Actions actions;
