Refuse nothing for good by a configuration that is not confirmed

Cause: a gateway decided by the table that it held, whatever its age. Anything that delays answers by more than ConfigMs (a full link, a late event loop, a leader behind with its polls) became a wrong final refusal. The class is a decision by replicated state of unbounded age.

Fix: within maxConfirmationAge of the last confirmation nothing changes. Beyond it a final refusal becomes 503, after which callers ask another gateway; requests that the table allows are served on, since a partition may last. A gateway that has known for as long that a newer version is in force and has not received it serves nothing by the old one and is not ready.

Its kin were looked at: evacuations and rollouts come whole in each answer and refuse nothing for good, a quarantined subject gets 503, a used-up budget is told by a balance of a moment ago only, the list of upstreams is read from the platform when it grows old.

--- a/src/gateway/control.cpp
+++ b/src/gateway/control.cpp
@@ -436,6 +436,20 @@
   return at ? (aState.now - *at).count() : -1;
 }
 
+bool
+confirmedLately(const State& aState)
+{
+  const auto& at = aState.confirmation.at;
+  return at && aState.now - *at <= aState.options.maxConfirmationAge;
+}
+
+bool
+supersededForLong(const State& aState)
+{
+  const auto& newer = aState.confirmation.newer;
+  return !newer.empty() && aState.now - newer.begin()->second > aState.options.maxConfirmationAge;
+}
+
 void
 onContacts(State& aState, const Contacts& aContacts)
 {
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -127,7 +127,7 @@
 bool
 GatewayRole::ready() const noexcept
 {
-  return mState->index && mState->upstreams.received && !mState->leavingSince;
+  return mState->index && mState->upstreams.received && !mState->leavingSince && !supersededForLong(*mState);
 }
 
 Metrics
--- a/src/gateway/requests.cpp
+++ b/src/gateway/requests.cpp
@@ -22,6 +22,17 @@
 /// Retry-After when the balancer will send the next attempt to another gateway: short, but not zero.
 constexpr Duration kElsewhereRetryAfter{ 50 };
 
+/// A refusal that the caller takes for final, if the table that it rests on may still be the newest. Otherwise a gateway
+/// with a newer table may serve the request.
+RequestError
+finalRefusal(const State& aState, std::int32_t aStatus, const char* aError)
+{
+  if (!confirmedLately(aState)) {
+    return { 503, "configuration_not_confirmed", kElsewhereRetryAfter };
+  }
+  return { aStatus, aError, {} };
+}
+
 std::optional<RequestError>
 identify(const State& aState, Request& aRequest)
 {
@@ -29,10 +40,13 @@
   if (!table) {
     return RequestError{ 503, "no_configuration", kStartupRetryAfter };
   }
+  if (supersededForLong(aState)) {
+    return RequestError{ 503, "configuration_superseded", kElsewhereRetryAfter };
+  }
   aRequest.index = table;
   aRequest.route = findRoute(*table, aRequest.call.host, aRequest.call.target);
   if (aRequest.route == nullptr) {
-    return RequestError{ 404, "unknown_path", {} };
+    return finalRefusal(aState, 404, "unknown_path");
   }
   aRequest.priority = aRequest.route->priority;
   if (aRequest.route->isPublic || table->table.plans.empty()) {
@@ -40,7 +54,7 @@
   }
   const auto* plan = findPlan(*table, aRequest.call.key);
   if (plan == nullptr) {
-    return RequestError{ 401, "unknown_key", {} };
+    return finalRefusal(aState, 401, "unknown_key");
   }
   aRequest.plan = plan->plan;
   aRequest.priority = plan->priority >= 0 ? plan->priority : aRequest.priority;
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -224,6 +224,12 @@
 /// @return milliseconds since the routing table held was known to be the newest; -1: it never was
 std::int64_t
 confirmationAgeMs(const State& aState);
+/// @return whether no change that is to be in force by now can be missing from the routing table held
+bool
+confirmedLately(const State& aState);
+/// @return whether a newer routing table than the one held is known to have been in force for `maxConfirmationAge`
+bool
+supersededForLong(const State& aState);
 /// Polls the leader as soon as `minPollInterval` allows, because requests wait or tokens were returned.
 void
 pollSoon(State& aState);
--- a/tests/gateway/configuration_test.cpp
+++ b/tests/gateway/configuration_test.cpp
@@ -113,6 +113,7 @@
   CHECK_EQUAL(1U, fleet.take<StartCall>().size());
   answerWithoutDocument(kTooLong);
   CHECK_EQUAL(503, statusOf("/order/1"));
+  CHECK_FALSE(fleet.role.ready());
   fleet.answer();
   fleet.clearActions();
   fleet.call("/order/1");
