Answer operators and keep to a planned stop while a controller's disk is full

A SIGTERM that came meanwhile was lost, so the process ran to the end of its grace and was killed, and seed controllers that the settings had named since the start were forgotten.

Cause: the controller's part dropped all actions while its store was closed, and built a new role from the disk, which knows nothing of open requests, of the stop or of later settings. The old role went on in memory meanwhile, unseen.

Fix: StoredController holds the role together with its store. When the store refuses a write the role goes with it at once, open and later requests are refused (503), and a stop needs no role to end. The next role is told the contacts and lists that the process has.

Evidence: StoredController, six tests. With the former behaviour played in the same group, answersTheOperatorsOfAControllerWhoseDiskIsFull fails and takesChangesAfterDisksWereFullInTurn ends with 12 requests that were never answered. Ruled out: that the group itself stays without a leader or takes no changes.

--- a/src/daemon/role_loop.h
+++ b/src/daemon/role_loop.h
@@ -76,9 +76,6 @@
     }
   }
 
-  /// Goes on with another role, for example one that was built anew from the disk; on the thread of the loop only.
-  void replace(std::unique_ptr<RoleClass> aRole) { mRole = std::move(aRole); }
-
   /// @return what the role said after the last batch; any thread
   bool ready() const noexcept { return mReady.load(); }
 
