Sync what a start reads from the data folder; write the log anew after a refusal

What could be lost: a change that was acknowledged. A process that is killed between a write and its sync finds the entry in its log when it starts again, and tells the leader that it has it without writing anything. Nothing had synced it: when all machines lose power next, and the leader its disk, the change is gone. After a refused sync in the same process it was the same, and worse: the system may have dropped what it held, and a later sync of the file says nothing on that.

Cause: opening a folder read the log and synced only what it cut off. The class is a promise on data of which only the cache is known.

Fix: open() syncs the log and the names in the folder before anything is told of them. recover(), for a store that has refused, writes the log anew, which also shows that the disk takes writes: before, a controller reopened its store on a full disk every half second and lost it with its first record.

Evidence: RefusedDisk.

--- a/include/rhubarbarch/consensus/log_store.h
+++ b/include/rhubarbarch/consensus/log_store.h
@@ -26,13 +26,18 @@
   struct Opened;
 
   /// Opens a data folder; creates the folder and draws a replica identity when it is absent or empty. A torn last
-  /// record is cut off.
+  /// record is cut off, and all that is read is synced: a process that was killed may have written it and not synced it.
   /// @param aFolder the data folder; one process at a time
   /// @param aRandom generator for the identity
   /// @return the store and what it holds; kCorrupt when a checksum before the last record is wrong; kIo when the
   /// folder cannot be read, written or is in use
   static Result<Opened> open(const std::filesystem::path& aFolder, std::mt19937_64& aRandom);
 
+  /// Opens a data folder whose store has refused a write or sync, in the same process. What the system holds of the log
+  /// may not be on the disk, so the log is written anew; that also shows that the disk takes writes again.
+  /// @return as open()
+  static Result<Opened> recover(const std::filesystem::path& aFolder, std::mt19937_64& aRandom);
+
   ~LogStore();
   LogStore(LogStore&&) noexcept;
   LogStore& operator=(LogStore&&) noexcept;
@@ -48,6 +53,7 @@
 private:
   struct Files;
   explicit LogStore(std::unique_ptr<Files> aFiles);
+  static Result<Opened> openFolder(const std::filesystem::path& aFolder, std::mt19937_64& aRandom);
   std::unique_ptr<Files> mFiles;
 };
 
--- a/src/consensus/log_store.cpp
+++ b/src/consensus/log_store.cpp
@@ -259,6 +259,25 @@
 
 Result<LogStore::Opened>
 LogStore::open(const std::filesystem::path& aFolder, std::mt19937_64& aRandom)
+{
+  BOOST_OUTCOME_TRY(opened, openFolder(aFolder, aRandom));
+  BOOST_OUTCOME_TRYV(syncFile(logPath(aFolder)));
+  BOOST_OUTCOME_TRYV(syncFolder(aFolder));
+  return std::move(opened);
+}
+
+Result<LogStore::Opened>
+LogStore::recover(const std::filesystem::path& aFolder, std::mt19937_64& aRandom)
+{
+  BOOST_OUTCOME_TRY(opened, openFolder(aFolder, aRandom));
+  BOOST_OUTCOME_TRYV(rewriteLog(aFolder, opened.state));
+  BOOST_OUTCOME_TRY(log, openForAppend(logPath(aFolder)));
+  opened.store.mFiles->log = std::move(log);
+  return std::move(opened);
+}
+
+Result<LogStore::Opened>
+LogStore::openFolder(const std::filesystem::path& aFolder, std::mt19937_64& aRandom)
 {
   auto files = std::make_unique<Files>();
   files->folder = aFolder;
--- a/src/consensus/record_file.cpp
+++ b/src/consensus/record_file.cpp
@@ -175,6 +175,13 @@
   return syncFolder(aPath.parent_path());
 }
 
+Result<void>
+syncFile(const std::filesystem::path& aPath)
+{
+  BOOST_OUTCOME_TRY(file, openForAppend(aPath));
+  return ::fsync(file.number()) == 0 ? Result<void>(success()) : Result<void>(ioFailure(aPath));
+}
+
 Result<void>
 syncFolder(const std::filesystem::path& aFolder)
 {
--- a/src/consensus/record_file.h
+++ b/src/consensus/record_file.h
@@ -54,6 +54,10 @@
 Result<void>
 replaceFile(const std::filesystem::path& aPath, std::string_view aBytes);
 
+/// Syncs a file that was written before.
+Result<void>
+syncFile(const std::filesystem::path& aPath);
+
 /// Syncs the names in a folder.
 Result<void>
 syncFolder(const std::filesystem::path& aFolder);
--- a/src/daemon/controller_part.cpp
+++ b/src/daemon/controller_part.cpp
@@ -86,7 +86,7 @@
     return std::make_unique<StoredController>(
       controllerOptions(aProcess.settings),
       std::move(aOpened),
-      [folder = aProcess.settings.dataFolder] { return openStore(folder, consensus::LogStore::open); },
+      [folder = aProcess.settings.dataFolder] { return openStore(folder, consensus::LogStore::recover); },
       std::mt19937_64(std::random_device{}()));
   }
 
