Repeat a lost or unusable configuration with the next answer, not after a pause

What callers saw: a gateway kept to an old configuration for 0.8 s or several times that, although its polls were answered all the time.

Cause: a leader noted a document as sent when it handed it to a queue, and did not send it again for documentPause, whatever had become of it. Changes that follow one another sooner than polls do were each announced for the version of the last poll, so the gateway, which held a later one by then, dropped every second one without a word. The class is retransmission by time alone.

Fix: polls name the highest poll whose answer has arrived. A later answer than the one with the document means that the document is lost. A gateway reports changes that are for another version at once, and the leader answers it without a pause. An announcement is for the version that is on its way. The pause stays for gateways that say neither.

Ruled out: a shorter pause, which sends large documents twice over slow links.

--- a/include/rhubarbarch/wire/gateway_messages.h
+++ b/include/rhubarbarch/wire/gateway_messages.h
@@ -73,10 +73,12 @@
 {
   InstanceId instance;
   Boot boot{};
-  SessionId session{};      ///< zero: asks for one
-  std::uint64_t number = 0; ///< grows with each poll of this boot
-  std::string endpoint;     ///< `ip:port` of its peer listener
+  SessionId session{};        ///< zero: asks for one
+  std::uint64_t number = 0;   ///< grows with each poll of this boot
+  std::string endpoint;       ///< `ip:port` of its peer listener
+  std::uint64_t answered = 0; ///< highest number of a poll of this boot whose answer has arrived
   std::int64_t routingVersion = 0;
+  bool routingRejected = false; ///< changes have arrived that are for another version than this one
   std::uint64_t upstreamsRevision = 0;
   bool leaving = false; ///< shuts down; gives all free tokens back
   bool partial = false; ///< only plans that changed and cannot wait; nothing on upstreams
--- a/src/controller/gateway_documents.cpp
+++ b/src/controller/gateway_documents.cpp
@@ -1,22 +1,24 @@
 #include "gateway_documents.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace rhubarbarch::controller {
 
 namespace {
 
-/// Records that a document is sent. @return false when the same document was sent to the same address less than
-/// `documentPause` ago
+/// @return whether a document is to be sent: for the first time to this address, again because a later answer has
+/// arrived and the document has not, or again because nothing was heard of it for `documentPause`
 bool
-recordSent(const Context& aContext, SentDocument& aSent, std::uint64_t aRevision, const Address& aTo)
+documentDue(const Context& aContext,
+            const SentDocument& aSent,
+            std::uint64_t aRevision,
+            const GatewayPoll& aPoll,
+            const Address& aTo)
 {
-  const bool again =
+  const bool sent =
     aSent.revision == aRevision && aSent.to == aTo && aContext.now - aSent.at < aContext.options.gateways.documentPause;
-  if (!again) {
-    aSent = { aRevision, aTo, aContext.now };
-  }
-  return !again;
+  return !sent || aPoll.answered > aSent.answer;
 }
 
 /// Retains the document in force, so that the next one can be sent as a delta to it.
@@ -68,11 +70,23 @@
   const auto& table = aContext.state.routing.table;
   auto* gateway = findGateway(aContext, aPoll.session);
   const auto revision = static_cast<std::uint64_t>(table.version);
-  if (table.version <= aPoll.routingVersion ||
-      (gateway != nullptr && !recordSent(aContext, gateway->routing, revision, aTo))) {
+  auto base = aPoll.routingVersion;
+  if (table.version <= base) {
     return;
   }
-  if (const auto* delta = deltaSince(aContext, aPoll.routingVersion)) {
+  if (gateway != nullptr) {
+    auto& sent = gateway->routing;
+    const bool rejected = std::exchange(gateway->poll.routingRejected, false);
+    if (!rejected && !documentDue(aContext, sent, revision, aPoll, aTo)) {
+      return;
+    }
+    // Changes that follow one another sooner than polls do are each for the version before, which is on its way.
+    const bool onItsWay =
+      !rejected && sent.revision != revision && !documentDue(aContext, sent, sent.revision, aPoll, aTo);
+    base = onItsWay ? std::max(base, static_cast<std::int64_t>(sent.revision)) : base;
+    sent = { revision, aPoll.number, aTo, aContext.now };
+  }
+  if (const auto* delta = deltaSince(aContext, base)) {
     aAnswer.hasRoutingDelta = true;
     aAnswer.routingDelta = *delta;
   } else {
@@ -92,7 +106,10 @@
   aAnswer.upstreamsRevision = platform.upstreamsRevision;
   auto* gateway = findGateway(aContext, aPoll.session);
   if (platform.upstreamsRevision != aPoll.upstreamsRevision &&
-      (gateway == nullptr || recordSent(aContext, gateway->upstreams, platform.upstreamsRevision, aTo))) {
+      (gateway == nullptr || documentDue(aContext, gateway->upstreams, platform.upstreamsRevision, aPoll, aTo))) {
+    if (gateway != nullptr) {
+      gateway->upstreams = { platform.upstreamsRevision, aPoll.number, aTo, aContext.now };
+    }
     aAnswer.hasUpstreams = true;
     aAnswer.upstreams = platform.upstreams;
   }
--- a/src/controller/memory.h
+++ b/src/controller/memory.h
@@ -75,6 +75,7 @@
 struct SentDocument
 {
   std::uint64_t revision = 0;
+  std::uint64_t answer = 0; ///< number of the answer that included it
   Address to;
   TimePoint at;
 };
@@ -106,8 +107,8 @@
 /// to larger batches, not to more of them.
 struct ReportQueue
 {
-  std::map<SessionId, bool> due; ///< true: a poll of the session waits for an answer
-  bool proposed = false;         ///< a batch is proposed but not yet applied
+  std::map<SessionId, bool> due;            ///< true: a poll of the session waits for an answer
+  bool proposed = false;                    ///< a batch is proposed but not yet applied
   std::map<SessionId, std::uint64_t> polls; ///< latest poll of each session in the proposed batch
   TimePoint proposedAt;
   SessionId lastFirst{}; ///< first session of the last batch; the next batch starts after it
--- a/src/gateway/control.cpp
+++ b/src/gateway/control.cpp
@@ -54,7 +54,9 @@
   poll.session = link.session;
   poll.number = ++link.polls;
   poll.endpoint = aState.options.endpoint;
+  poll.answered = link.answered;
   poll.routingVersion = aState.index ? aState.index->table.version : 0;
+  poll.routingRejected = std::exchange(link.routingRejected, false);
   poll.upstreamsRevision = aState.upstreams.revision;
   poll.leaving = aState.leavingSince.has_value();
   poll.partial = aKind == PollKind::kUrgent;
@@ -292,6 +294,8 @@
   if (held == aDelta.base) {
     updateRouting(aState, applyDelta(aState.index->table, aDelta), aFrom);
   } else if (held < aDelta.rest.version) {
+    aState.link.routingRejected = true;
+    pollSoon(aState);
     log(aState,
         Severity::kWarning,
         "routing_delta_not_applied",
--- a/src/gateway/requests.cpp
+++ b/src/gateway/requests.cpp
@@ -22,8 +22,8 @@
 /// Retry-After when the balancer will send the next attempt to another gateway: short, but not zero.
 constexpr Duration kElsewhereRetryAfter{ 50 };
 
-/// A refusal that the caller takes for final, if the table that it rests on may still be the newest. Otherwise a gateway
-/// with a newer table may serve the request.
+/// A refusal that the caller takes for final, if the table that it rests on may still be the newest. Otherwise a
+/// gateway with a newer table may serve the request.
 RequestError
 finalRefusal(const State& aState, std::int32_t aStatus, const char* aError)
 {
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -101,7 +101,7 @@
 /// What is known of the age of the routing table.
 struct RoutingConfirmation
 {
-  std::optional<TimePoint> at;     ///< the table in force at a gateway was the newest one at this time or later
+  std::optional<TimePoint> at;             ///< the table in force at a gateway was the newest one at this time or later
   std::map<std::int64_t, TimePoint> newer; ///< versions above the one held, and when a leader first named them
 };
 
@@ -113,7 +113,8 @@
   TimePoint currentSince;               ///< when polls to the current one began
   TimePoint pollAt;
   TimePoint polledAt;
-  bool urgent = false; ///< since the last poll, requests wait for tokens or tokens were returned
+  bool routingRejected = false; ///< since the last poll, changes have arrived that are for another version
+  bool urgent = false;          ///< since the last poll, requests wait for tokens or tokens were returned
   std::uint64_t polls = 0;
   SessionId session{};
   std::optional<TimePoint> answeredAt;
--- a/tests/controller/gateways_test.cpp
+++ b/tests/controller/gateways_test.cpp
@@ -152,6 +152,71 @@
   CHECK_FALSE(next.hasRouting);
 }
 
+// Guards against waiting for 0.8 s and more for a configuration whose announcement was lost in a queue or with a
+// connection, although the gateway has had a later answer. The time is two polls, a fifth of what a change may take.
+TEST(GatewaysController, repeatsALostDocumentOnceALaterAnswerHasArrived)
+{
+  put(3, 1000);
+  poll(kFirst);
+  polls[kFirst].routingVersion = 3;
+  poll(kFirst);
+  fleet.start(fleet.leader(), controller::PutRouting{ tableOf(4, 2000), "source", "4" });
+  fleet.run(kSoon);
+  polls[kFirst].answered = polls[kFirst].number;
+  CHECK_FALSE(poll(kFirst).hasRoutingDelta);
+  polls[kFirst].answered = polls[kFirst].number;
+  CHECK(poll(kFirst).hasRoutingDelta);
+}
+
+// Guards against sending a large document again while it is on its way.
+TEST(GatewaysController, doesNotRepeatADocumentThatMayBeOnItsWay)
+{
+  put(3, 1000);
+  poll(kFirst);
+  polls[kFirst].routingVersion = 3;
+  poll(kFirst);
+  polls[kFirst].answered = polls[kFirst].number;
+  fleet.start(fleet.leader(), controller::PutRouting{ tableOf(4, 2000), "source", "4" });
+  fleet.run(kSoon);
+  for (int i = 0; i < 4; ++i) {
+    CHECK_FALSE(poll(kFirst).hasRoutingDelta);
+  }
+}
+
+// Guards against changes for a version that the gateway does not hold being followed by a pause.
+TEST(GatewaysController, answersARejectedChangeAtOnce)
+{
+  put(3, 1000);
+  poll(kFirst);
+  polls[kFirst].routingVersion = 3;
+  poll(kFirst);
+  fleet.start(fleet.leader(), controller::PutRouting{ tableOf(4, 2000), "source", "4" });
+  fleet.run(kSoon);
+  polls[kFirst].routingRejected = true;
+  const auto answer = poll(kFirst);
+  CHECK(answer.hasRoutingDelta);
+  CHECK_EQUAL(3, answer.routingDelta.base);
+}
+
+// Guards against announcing each of two changes that follow one another for the version that the last poll named: the
+// gateway holds another one by then and drops the second.
+TEST(GatewaysController, announcesChangesThatFollowOneAnotherInTurn)
+{
+  put(3, 1000);
+  poll(kFirst);
+  polls[kFirst].routingVersion = 3;
+  poll(kFirst);
+  const auto before = fleet.received<GatewayState>(kFirst).size();
+  fleet.start(fleet.leader(), controller::PutRouting{ tableOf(4, 2000), "source", "4" });
+  fleet.run(kSoon);
+  fleet.start(fleet.leader(), controller::PutRouting{ tableOf(5, 3000), "source", "5" });
+  fleet.run(kSoon);
+  const auto states = fleet.received<GatewayState>(kFirst);
+  CHECK_EQUAL(before + 2, states.size());
+  CHECK_EQUAL(3, states[before].routingDelta.base);
+  CHECK_EQUAL(4, states[before + 1].routingDelta.base);
+}
+
 // Guards against a repeat being refused, and against other content under the version in force being accepted.
 TEST(GatewaysController, acceptsRepeatsAndRefusesConflicts)
 {
--- a/tests/gateway/configuration_test.cpp
+++ b/tests/gateway/configuration_test.cpp
@@ -120,6 +120,32 @@
   CHECK_EQUAL(1U, fleet.take<StartCall>().size());
 }
 
+// Guards against changes for another version being dropped in silence: the next ones came after a pause.
+TEST(GatewayConfiguration, reportsChangesForAnotherVersionAtOnce)
+{
+  fleet.start();
+  fleet.tick(GatewayOptions{}.pollPeriod);
+  fleet.answer();
+  auto later = fleet.table;
+  later.version = 6;
+  auto base = fleet.table;
+  base.version = 5;
+  auto state = fleet.state();
+  state.hasRouting = false;
+  state.hasRoutingDelta = true;
+  state.routingDelta = makeDelta(base, later);
+  state.routingVersion = 6;
+  fleet.clearActions();
+  fleet.handle(PeerMessage{ { kLeader, Role::kController }, state });
+  fleet.tick(GatewayOptions{}.minPollInterval);
+  const auto poll = fleet.lastPoll();
+  CHECK(poll.routingRejected);
+  CHECK_EQUAL(3, poll.routingVersion);
+  fleet.answer();
+  fleet.tick(GatewayOptions{}.pollPeriod);
+  CHECK_FALSE(fleet.lastPoll().routingRejected);
+}
+
 // Guards against taking a gateway that is always one version behind, in a series of changes, for one without news.
 TEST(GatewayConfiguration, servesWhileVersionsFollowOneAnother)
 {
