Answer operators of the users' interface after 5 s at the latest

An operator's request that the controller role does not answer, because its thread waits for a disk that is silent, stayed open for as long as the operator kept the connection, and each takes one of 64 connections. It is answered with 504 (outcome unknown) after the longest time for which operators wait for an acknowledgement.

No test shows it: a disk that is silent cannot be played on the machines that run the tests. The class is that of the full disks: an answer that depends on the store.

--- a/src/daemon/control_part.cpp
+++ b/src/daemon/control_part.cpp
@@ -15,6 +15,18 @@
 
 namespace {
 
+/// A request that the controller has not answered by then, because its disk is silent, is answered with 504: the
+/// longest time for which operators wait for an acknowledgement (`AckMs` of 5 s). Each open one takes one of few
+/// connections.
+constexpr Duration kAnswerLimit{ 5'000 };
+constexpr Duration kCheckPeriod{ 500 };
+
+TimePoint
+now()
+{
+  return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
+}
+
 net::HttpServerOptions
 serverOptions(const Process& aProcess)
 {
@@ -76,7 +88,7 @@
   net::HttpServerEvents events;
   events.request = [this](router::CallerRequest&& aRequest) { request(std::move(aRequest)); };
   events.drained = [](const router::CallerDrained&) {};
-  events.gone = [this](const router::CallerGone& aGone) { mTargets.erase(aGone.caller); };
+  events.gone = [this](const router::CallerGone& aGone) { mOpen.erase(aGone.caller); };
   events.log = [this](const LogLine& aLine) { mProcess.log.write(aLine); };
   events.congested = [] { return false; };
   return events;
@@ -91,6 +103,7 @@
 void
 ControlPart::start()
 {
+  awaitCheck();
   mThread.start();
 }
 
@@ -119,7 +132,7 @@
                nextContact(aRequest.target));
     return;
   }
-  mTargets[aRequest.caller] = aRequest.target;
+  mOpen[aRequest.caller] = { aRequest.target, now() + kAnswerLimit };
   const auto id = static_cast<controller::OperatorId>(toNumber(aRequest.caller));
   mProcess.dispatcher.controller->push(
     kFromOperators, controller::OperatorRequest{ id, std::move(std::get<controller::Operation>(operation)) });
@@ -156,16 +169,44 @@
 ControlPart::answer(const controller::OperatorReply& aReply)
 {
   const auto caller = static_cast<router::CallerId>(toNumber(aReply.id));
-  const auto target = mTargets.extract(caller);
-  if (target.empty()) {
-    return; // the operator has gone
+  const auto open = mOpen.extract(caller);
+  if (open.empty()) {
+    return; // the operator has gone, or was told that the outcome is unknown
   }
   std::string location;
   const auto port = mProcess.settings.controllerSettings.control.port;
-  const auto encoded = platform::encodeAnswer(aReply, target.mapped(), port, location);
+  const auto encoded = platform::encodeAnswer(aReply, open.mapped().target, port, location);
   sendAnswer(mServer, caller, encoded, location);
 }
 
+void
+ControlPart::awaitCheck()
+{
+  mTimer.expires_after(kCheckPeriod);
+  mTimer.async_wait([this](const boost::system::error_code& aError) {
+    if (!aError) {
+      answerOverdue();
+      awaitCheck();
+    }
+  });
+}
+
+void
+ControlPart::answerOverdue()
+{
+  std::vector<router::CallerId> overdue;
+  for (const auto& [caller, open] : mOpen) {
+    if (open.limit <= now()) {
+      overdue.push_back(caller);
+    }
+  }
+  for (const auto caller : overdue) {
+    mProcess.log.write({ Severity::kWarning, "operator_not_answered", { { "target", mOpen.at(caller).target } } });
+    mOpen.erase(caller);
+    sendAnswer(mServer, caller, { 504, "application/json", R"({"Error":"outcome unknown; send it again"})" }, "");
+  }
+}
+
 void
 ControlPart::readUpstreams()
 {
--- a/src/daemon/control_part.h
+++ b/src/daemon/control_part.h
@@ -3,6 +3,8 @@
 #include "parts.h"
 #include "rhubarbarch/net/http_server.h"
 
+#include <boost/asio/steady_timer.hpp>
+
 #include <map>
 #include <memory>
 #include <string>
@@ -35,16 +37,26 @@
   void contacts(std::vector<std::string> aControllers);
 
 private:
+  /// A request that the controller role has taken.
+  struct OpenRequest
+  {
+    std::string target;
+    TimePoint limit;
+  };
+
   net::HttpServerEvents events();
   void request(router::CallerRequest&& aRequest);
   void answer(const controller::OperatorReply& aReply);
   std::string nextContact(const std::string& aTarget);
+  void awaitCheck();
+  void answerOverdue();
 
   Process& mProcess;
   IoThread mThread;
   net::HttpServer mServer;
   net::Inbox<controller::OperatorReply> mReplies;
-  std::map<router::CallerId, std::string> mTargets; ///< of the requests in progress
+  boost::asio::steady_timer mTimer{ mThread.context };
+  std::map<router::CallerId, OpenRequest> mOpen;
   std::unique_ptr<platform::InstanceListReader> mReader;
   std::vector<std::string> mContacts; ///< endpoints at which controllers listen for peers
   std::size_t mNextContact = 0;
