Test real controllers whose disks are full in turn

Each of three controllers has its writes refused by a limit on file sizes, twice in turn, beside changes of the lists. The other files of this commit are formatted only.

--- a/include/rhubarbarch/consensus/log_store.h
+++ b/include/rhubarbarch/consensus/log_store.h
@@ -26,7 +26,8 @@
   struct Opened;
 
   /// Opens a data folder; creates the folder and draws a replica identity when it is absent or empty. A torn last
-  /// record is cut off, and all that is read is synced: a process that was killed may have written it and not synced it.
+  /// record is cut off, and all that is read is synced: a process that was killed may have written it and not synced
+  /// it.
   /// @param aFolder the data folder; one process at a time
   /// @param aRandom generator for the identity
   /// @return the store and what it holds; kCorrupt when a checksum before the last record is wrong; kIo when the
--- a/include/rhubarbarch/settings/settings.h
+++ b/include/rhubarbarch/settings/settings.h
@@ -71,7 +71,7 @@
   double retryRatio = 0.1;
   std::int64_t retrySlack = 0;
   Duration retryWindow{ 10'000 };
-  double linkRate = 0; ///< bytes a second that the machine's link carries; zero: unknown
+  double linkRate = 0;                ///< bytes a second that the machine's link carries; zero: unknown
   Duration configurationTime{ 2000 }; ///< within which a confirmed change is in force at all gateways
 };
 
--- a/src/daemon/stored_controller.cpp
+++ b/src/daemon/stored_controller.cpp
@@ -65,8 +65,7 @@
 StoredController::startRole(OpenedStore aOpened)
 {
   mWrite = std::move(aOpened.write);
-  mRole = std::make_unique<controller::ControllerRole>(
-    mOptions, std::move(aOpened.state), std::mt19937_64(mRandom()));
+  mRole = std::make_unique<controller::ControllerRole>(mOptions, std::move(aOpened.state), std::mt19937_64(mRandom()));
 }
 
 Actions
--- a/tests/consensus/refused_disk_test.cpp
+++ b/tests/consensus/refused_disk_test.cpp
@@ -30,9 +30,9 @@
 {
   bool refusesSyncs = false;
   bool refusesWrites = false;
-  std::size_t writesLeft = 0;            ///< bytes that are taken before writes are refused
+  std::size_t writesLeft = 0;             ///< bytes that are taken before writes are refused
   std::map<ino_t, std::uintmax_t> synced; ///< size of each file at its last sync
-  std::set<ino_t> folders;               ///< synced
+  std::set<ino_t> folders;                ///< synced
 };
 
 Disk&
--- a/tests/daemon/stored_controller_test.cpp
+++ b/tests/daemon/stored_controller_test.cpp
@@ -76,8 +76,8 @@
     if (open > 0) {
       return failed(std::to_string(open) + " requests of operators were never answered");
     }
-    const auto late = std::ranges::count_if(
-      mGroup.asked, [](const auto& aEach) { return *aEach.answeredAt - aEach.at > kAckTime; });
+    const auto late =
+      std::ranges::count_if(mGroup.asked, [](const auto& aEach) { return *aEach.answeredAt - aEach.at > kAckTime; });
     return late > 0 ? failed(std::to_string(late) + " requests of operators were answered late") : std::string();
   }
 
--- a/tests/process/process_test.cpp
+++ b/tests/process/process_test.cpp
@@ -259,6 +259,37 @@
   LONGS_EQUAL(ProcessFleet::kRichBudget + 1, ProcessFleet::budgetIn(fleet->lists(), "rich"));
 }
 
+// Guards against operators that get no answer, and changes that are refused from then on, because the disks of the
+// controllers were full for some seconds each, one after another.
+TEST(Process, DisksThatAreFullInTurnLeaveNoOperatorUnanswered)
+{
+  start("full-disks");
+  auto revision = fleet->lists().value("uses_revision", std::uint64_t{ 0 });
+  auto budget = ProcessFleet::kRichBudget;
+  for (const int entry : { 1, 2, 3, 1, 2, 3 }) {
+    fleet->entry(entry).refuseWrites(true);
+    // Its write is refused, if it leads or once another one has accepted the change.
+    const auto answer = fleet->operateAt(entry, "/v1/lists/uses", ProcessFleet::budgetChange(revision, ++budget));
+    require(*fleet,
+            answer.status != 0 && answer.status != 504,
+            "entry " + std::to_string(entry) + " does not answer with a full disk: " + describe(answer));
+    const auto changed = fleet->applyBudget(revision, budget);
+    require(*fleet, changed > revision, "a change beside a full disk was not accepted: " + fleet->problem());
+    revision = changed;
+    fleet->entry(entry).refuseWrites(false);
+    const auto back = [&] {
+      return fleet->metric(entry, "rhubarbarch_controller_voter") == 1 && fleet->ready(ProcessFleet::entryName(entry));
+    };
+    require(*fleet, waitUntil(back), "a controller whose disk has room again is not ready");
+  }
+  const auto changed = fleet->applyBudget(revision, ++budget);
+  require(*fleet, changed > revision, "a change after the last full disk was not accepted: " + fleet->problem());
+  LONGS_EQUAL(budget, ProcessFleet::budgetIn(fleet->lists(), "rich"));
+  if (!fleet->serving()) {
+    FAIL(fleet->problem().c_str());
+  }
+}
+
 // Guards against requests that wait forever on connections that are open but forward nothing any more.
 TEST(Process, SilentConnectionsAreReplaced)
 {
--- a/tests/support/child_process.h
+++ b/tests/support/child_process.h
@@ -3,6 +3,7 @@
 #include <fcntl.h>
 #include <netinet/in.h>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -104,6 +105,8 @@
     if (mPid == 0) {
       // The test program may be killed itself, for example by a time limit.
       ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+      // A write beyond the limit of refuseWrites() fails instead of ending the process.
+      ::signal(SIGXFSZ, SIG_IGN); // NOLINT(cert-err33-c)
       if (log < 0 || ::getppid() != parent || ::dup2(log, STDOUT_FILENO) < 0 || ::dup2(log, STDERR_FILENO) < 0) {
         ::_exit(126);
       }
@@ -146,6 +149,15 @@
     return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
   }
 
+  /// Makes all writes of the process to files fail, as on a full disk, or lets them succeed again.
+  void refuseWrites(bool aRefuse) const
+  {
+    const rlimit limit{ aRefuse ? 0 : RLIM_INFINITY, RLIM_INFINITY };
+    if (::prlimit(mPid, RLIMIT_FSIZE, &limit, nullptr) != 0) {
+      throw std::runtime_error("cannot limit the files of a process");
+    }
+  }
+
   bool running() const noexcept { return mPid > 0; }
   pid_t pid() const noexcept { return mPid; }
 
--- a/tests/support/process_fleet.h
+++ b/tests/support/process_fleet.h
@@ -201,15 +201,28 @@
     return answer;
   }
 
-  /// Applies the uses list with another budget for the plan `rich`.
-  /// @return the accepted revision; 0 when the change was refused or not answered
-  std::uint64_t applyBudget(std::uint64_t aExpected, std::int64_t aBudget)
+  /// Asks one controller, whether it leads or not.
+  HttpAnswer operateAt(int aEntry, const std::string& aPath, const std::string& aBody = {}) const
+  {
+    const auto* method = aBody.empty() ? "GET" : "POST";
+    return callHttp(mOperatorPorts.at(entryName(aEntry)), { method, aPath, kOperatorToken, {}, aBody });
+  }
+
+  /// Body of a change of the uses list to another budget for the plan `rich`.
+  static std::string budgetChange(std::uint64_t aExpected, std::int64_t aBudget)
   {
     const nlohmann::json body = { { "request_id", "change-" + std::to_string(aBudget) },
                                   { "expected_revision", aExpected },
                                   { "document", usesDocument(aBudget) } };
+    return body.dump();
+  }
+
+  /// Applies the uses list with another budget for the plan `rich`.
+  /// @return the accepted revision; 0 when the change was refused or not answered
+  std::uint64_t applyBudget(std::uint64_t aExpected, std::int64_t aBudget)
+  {
     HttpAnswer answer;
-    const auto text = body.dump();
+    const auto text = budgetChange(aExpected, aBudget);
     waitUntil([&] {
       answer = operate("/v1/lists/uses", text);
       return answer.status != 0 && answer.status != 503 && answer.status != 504;
