--- a/tests/gateway/configuration_test.cpp
+++ b/tests/gateway/configuration_test.cpp
@@ -8,7 +8,11 @@
 namespace {
 
 /// Longer than a change may take to be in force everywhere.
-constexpr Duration kTooLong = GatewayOptions{}.maxConfirmationAge + Duration{ 100 };
+Duration
+tooLong()
+{
+  return GatewayOptions{}.maxConfirmationAge + Duration{ 100 };
+}
 
 } // namespace
 
@@ -58,7 +62,7 @@
   fleet.start();
   CHECK_EQUAL(404, statusOf("/added-route/1"));
   CHECK_EQUAL(401, statusWithKey("added-key"));
-  fleet.tick(kTooLong);
+  fleet.tick(tooLong());
   CHECK_EQUAL(503, statusOf("/added-route/1"));
   CHECK_EQUAL(503, statusWithKey("added-key"));
   fleet.tick();
@@ -74,7 +78,7 @@
   fleet.start();
   fleet.tick();
   const auto late = fleet.state();
-  fleet.tick(kTooLong);
+  fleet.tick(tooLong());
   fleet.handle(PeerMessage{ { kLeader, Role::kController }, late });
   CHECK_EQUAL(503, statusOf("/added-route/1"));
 }
@@ -84,7 +88,7 @@
 {
   fleet.start();
   const auto confirmed = fleet.polls;
-  fleet.tick(kTooLong);
+  fleet.tick(tooLong());
   auto unconfirmed = fleet.state();
   unconfirmed.confirmedPoll = confirmed;
   fleet.handle(PeerMessage{ { kLeader, Role::kController }, unconfirmed });
@@ -95,7 +99,7 @@
 TEST(GatewayConfiguration, servesByATableThatIsNotConfirmed)
 {
   fleet.start();
-  fleet.tick(kTooLong);
+  fleet.tick(tooLong());
   fleet.clearActions();
   fleet.call("/order/1");
   CHECK_EQUAL(1U, fleet.take<StartCall>().size());
@@ -111,7 +115,7 @@
   fleet.clearActions();
   fleet.call("/order/1");
   CHECK_EQUAL(1U, fleet.take<StartCall>().size());
-  answerWithoutDocument(kTooLong);
+  answerWithoutDocument(tooLong());
   CHECK_EQUAL(503, statusOf("/order/1"));
   CHECK_FALSE(fleet.role.ready());
   fleet.answer();
