A gateway behind its own full link: timeline, hypotheses, observability

The last line of each request says which request of its connection it was, and a gateway logs each change of its readiness with what is missing. No decision changes.

--- a/include/rhubarbarch/gateway/events.h
+++ b/include/rhubarbarch/gateway/events.h
@@ -56,6 +56,7 @@
   Tokens likelyOutputTokens = 0;  ///< the caller's estimate; zero: none
   std::vector<PromptPart> prompt; ///< in order; the last part belongs to this request only
   std::string lastEventId;        ///< the caller resumes a stream after this event; empty: from the beginning
+  std::uint32_t connectionRequest = 0; ///< place among the requests of its connection, from 1
 };
 
 /// A caller disconnected before its request was read; the request was not forwarded.
--- a/include/rhubarbarch/router/events.h
+++ b/include/rhubarbarch/router/events.h
@@ -38,6 +38,7 @@
   std::string body;
   std::string target; ///< path and query; only if HttpServerOptions::passFields
   HttpFields fields;  ///< all header fields; only if HttpServerOptions::passFields
+  std::uint32_t connectionRequest = 0; ///< place among the requests of its connection, from 1
 };
 
 /// The HTTP server wrote answer bytes to the caller's socket, so the router may fetch more.
--- a/src/gateway/finish.cpp
+++ b/src/gateway/finish.cpp
@@ -35,6 +35,7 @@
       Severity::kInfo,
       aEvent,
       { { "request", aRequest.call.requestId },
+        { "connection_request", aRequest.call.connectionRequest },
         { "route", aRequest.route == nullptr ? "" : aRequest.route->name },
         { "plan", aRequest.plan },
         { "status", aStatus },
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <string_view>
 #include <utility>
 
 namespace rhubarbarch::gateway {
@@ -49,6 +50,34 @@
   }
 }
 
+/// @return what keeps this gateway from serving, empty: nothing
+std::string_view
+missingForReadiness(const State& aState)
+{
+  if (aState.leavingSince) {
+    return "leaving";
+  }
+  if (!aState.index) {
+    return "no_configuration";
+  }
+  if (!aState.upstreams.received) {
+    return "no_upstreams";
+  }
+  return supersededForLong(aState) ? "configuration_superseded" : "";
+}
+
+void
+reportReadiness(State& aState)
+{
+  const auto missing = missingForReadiness(aState);
+  if (std::exchange(aState.missingReported, missing) != missing) {
+    log(aState,
+        missing.empty() ? Severity::kInfo : Severity::kWarning,
+        "readiness",
+        { { "ready", missing.empty() }, { "missing", missing }, { "confirmed_ms", confirmationAgeMs(aState) } });
+  }
+}
+
 struct Handler
 {
   State& state;
@@ -76,6 +105,7 @@
     tickControl(state);
     tickRequests(state);
     stopWhenDrained(state);
+    reportReadiness(state);
   }
   void operator()(const Shutdown& /*aEvent*/) const
   {
@@ -127,7 +157,7 @@
 bool
 GatewayRole::ready() const noexcept
 {
-  return mState->index && mState->upstreams.received && !mState->leavingSince && !supersededForLong(*mState);
+  return missingForReadiness(*mState).empty();
 }
 
 Metrics
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -21,6 +21,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace rhubarbarch::gateway {
@@ -189,6 +190,7 @@
   CrashEvidence crashes;
   ControlLink link;
   Startup startup;
+  std::string_view missingReported = "not_started"; ///< what the last `readiness` line named
   std::map<CallerId, Request> requests;
   std::map<ExchangeId, CallerId> exchanges;
   std::uint64_t lastExchange = 0;
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -188,6 +188,7 @@
   std::deque<Piece> mOut;
   Phase mPhase = Phase::kIdle;
   router::CallerId mCaller{};
+  std::uint32_t mRequests = 0; ///< that were received whole
   bool mReading = false;
   bool mWriting = false;
   bool mOverloaded = false;
@@ -464,6 +465,7 @@
 Connection::dispatch()
 {
   const auto& request = mParser->get();
+  ++mRequests;
   mHttp10 = request.version() < 11;
   mKeepAlive = request.keep_alive() && !mShared->stopping;
   mHeadOnly = request.method() == http::verb::head;
@@ -532,6 +534,7 @@
   };
   router::CallerRequest passed;
   passed.caller = mCaller;
+  passed.connectionRequest = mRequests;
   passed.method = std::string(request.method_string());
   passed.path = pathOfTarget(std::string(request.target()));
   passed.apiKey = bearerToken(text(http::field::authorization));
