Keep a silent peer connection until another one replaces it

A gateway whose link was full closed its connections to controllers and relays after 3 s without a frame. Their frames were only late, behind requests of callers on the same link.

A frame on it reports the peer as up again. A connection that died silently is replaced as fast as before, since the new one is opened at once.

Test: PeerNetwork.keepsASilentConnectionUntilAnotherOneReplacesIt failed before (connection closed, expected 0, was 1); closesAConnectionThatStaysSilent guards the bound.

--- a/src/net/peer_link.h
+++ b/src/net/peer_link.h
@@ -34,6 +34,7 @@
   TimePoint heardAt;
   TimePoint sentAt;
   bool paused = false;
+  bool silent = false;   ///< reported as down since no frame has come for `PeerOptions::silence`
   bool replaced = false; ///< another connection of the same pair took over
 };
 
--- a/src/net/peer_network.cpp
+++ b/src/net/peer_network.cpp
@@ -11,6 +11,7 @@
 #include <random>
 #include <set>
 #include <unordered_map>
+#include <utility>
 
 namespace rhubarbarch::net {
 
@@ -87,6 +88,10 @@
     }
     auto& link = found->second;
     link.heardAt = now();
+    if (std::exchange(link.silent, false)) {
+      log(Severity::kInfo, "peer_heard_again", { { "peer", link.peer.instance } });
+      reportUp(link.peer);
+    }
     ++framesReceived;
     bytesReceived += aBytes.size();
     switch (link.stage) {
@@ -180,7 +185,9 @@
       const auto old = found->second;
       found->second = aLink;
       links[old].replaced = true;
-      reportLostRoles(links[old].peer, roles);
+      if (!links[old].silent) {
+        reportLostRoles(links[old].peer, roles);
+      }
       transport.drop(old);
     } else {
       links[aLink].replaced = true;
@@ -189,7 +196,17 @@
     }
     wanted[peer].backOff = options.firstBackOff;
     log(Severity::kInfo, "peer_up", { { "peer", peer }, { "boot", toNumber(aState.peer.boot) } });
-    std::ranges::for_each(roles, [&](Role aRole) { events.up({ peer, aRole }); });
+    reportUp(aState.peer);
+  }
+
+  void reportUp(const Hello& aPeer)
+  {
+    std::ranges::for_each(aPeer.roles, [&](Role aRole) { events.up({ aPeer.instance, aRole }); });
+  }
+
+  void reportDown(const Hello& aPeer)
+  {
+    std::ranges::for_each(aPeer.roles, [&](Role aRole) { events.down({ aPeer.instance, aRole }); });
   }
 
   // Both sides must decide alike, or each would close the connection that the other one keeps.
@@ -227,7 +244,9 @@
     }
     current.erase(held);
     log(Severity::kWarning, "peer_down", { { "peer", peer }, { "reason", aReason } });
-    std::ranges::for_each(link.peer.roles, [&](Role aRole) { events.down({ peer, aRole }); });
+    if (!link.silent) {
+      reportDown(link.peer);
+    }
   }
 
   void forgetAttempt(LinkId aLink)
@@ -252,18 +271,19 @@
     const bool congested = events.congested();
     queuedBytes = buffered();
     openLinks = links.size();
-    std::vector<LinkId> silent;
+    std::vector<LinkId> overdue;
     for (auto& [id, link] : links) {
       setPaused(id, link, congested, time);
+      noteSilence(id, link, time);
       if (expired(link, time)) {
-        silent.push_back(id);
+        overdue.push_back(id);
       } else if (link.stage == Stage::kProven && time - link.sentAt >= options.heartbeat) {
         link.sentAt = time;
         transport.send(id, std::string(kHeartbeatFrame));
       }
     }
-    for (const auto id : silent) {
-      const char* event = links[id].stage == Stage::kProven ? "peer_silent" : "peer_handshake_timeout";
+    for (const auto id : overdue) {
+      const char* event = links[id].stage == Stage::kProven ? "peer_given_up" : "peer_handshake_timeout";
       log(Severity::kWarning, event, { { "peer", links[id].peer.instance } });
       transport.drop(id);
     }
@@ -294,19 +314,47 @@
     }
   }
 
+  bool silentFor(const PeerLink& aLink, Duration aTime, TimePoint aNow) const
+  {
+    return aLink.stage == Stage::kProven && !aLink.paused && aNow - aLink.heardAt > aTime;
+  }
+
+  /// Reports a silent peer as down, but keeps the connection: it may have died, or its frames wait behind other traffic
+  /// on a full link, where a new connection would wait as well.
+  void noteSilence(LinkId aId, PeerLink& aLink, TimePoint aTime)
+  {
+    if (aLink.silent || aLink.replaced || !silentFor(aLink, options.silence, aTime)) {
+      return;
+    }
+    aLink.silent = true;
+    log(Severity::kWarning, "peer_silent", { { "peer", aLink.peer.instance } });
+    reportDown(aLink.peer);
+    const auto peer = wanted.find(aLink.peer.instance);
+    if (peer != wanted.end() && peer->second.attempt == aId) {
+      peer->second.attempt = LinkId{};
+      peer->second.nextAttempt = aTime;
+    }
+  }
+
   bool expired(const PeerLink& aLink, TimePoint aTime) const
   {
     if (aLink.stage != Stage::kProven) {
       return aTime - aLink.openedAt > options.handshakeTimeout;
     }
-    return !aLink.paused && aTime - aLink.heardAt > options.silence;
+    return silentFor(aLink, options.longestSilence, aTime);
+  }
+
+  /// @return whether there is a connection to the peer that is not silent
+  bool connected(const InstanceId& aPeer) const
+  {
+    const auto found = current.find(aPeer);
+    return found != current.end() && !links.at(found->second).silent;
   }
 
   void reconnect(TimePoint aTime)
   {
     for (auto& [instance, peer] : wanted) {
-      if (peer.endpoints.empty() || peer.attempt != LinkId{} || current.contains(instance) ||
-          aTime < peer.nextAttempt) {
+      if (peer.endpoints.empty() || peer.attempt != LinkId{} || connected(instance) || aTime < peer.nextAttempt) {
         continue;
       }
       peer.attempt = transport.connect(peer.endpoints.begin()->second);
--- a/tests/net/peer_network_test.cpp
+++ b/tests/net/peer_network_test.cpp
@@ -5,6 +5,7 @@
 #include "rhubarbarch/wire/codec.h"
 
 #include <algorithm>
+#include <atomic>
 #include <map>
 #include <memory>
 #include <string>
@@ -158,6 +159,9 @@
     transport->post([this, aFrame] { transport->send(seen.copy().link, aFrame); });
   }
 
+  /// From now on, handshakes of new connections get no answer.
+  void ignoreNewConnections() { mIgnores = true; }
+
   bool awaitClosed()
   {
     return seen.wait([](const RawSeen& aSeen) { return aSeen.closed > 0; });
@@ -169,6 +173,10 @@
 private:
   void opened(LinkId aLink, bool aOutgoing)
   {
+    if (mIgnores) {
+      seen.change([](RawSeen& aSeen) { ++aSeen.opened; });
+      return;
+    }
     mSide = aOutgoing ? Side::kOpened : Side::kAccepted;
     mMessages[aLink] = 0;
     seen.change([&](RawSeen& aSeen) {
@@ -180,6 +188,9 @@
 
   void received(LinkId aLink, std::string&& aBytes)
   {
+    if (!mMessages.contains(aLink)) {
+      return;
+    }
     const auto number = mMessages[aLink]++;
     if (number == 0) {
       transport->send(aLink, proofOfKey(mKey, mSide, mHello, aBytes));
@@ -193,6 +204,7 @@
   std::string mHello;
   Side mSide = Side::kOpened;
   std::map<LinkId, std::size_t> mMessages;
+  std::atomic<bool> mIgnores{ false };
   std::thread mThread;
 };
 
@@ -349,6 +361,40 @@
   CHECK(node.seen.wait([](const Seen& aSeen) { return aSeen.up.size() >= 2; }));
 }
 
+// Guards against giving up a connection whose frames are only late, as behind other traffic on a full link, while no
+// other one can be opened: what is on its way would be lost, and the peer could not be reached until the traffic ends.
+TEST(PeerNetwork, keepsASilentConnectionUntilAnotherOneReplacesIt)
+{
+  Node node("node", [](PeerOptions& aOptions) { aOptions.silence = Duration{ 200 }; });
+  RawPeer peer("peer");
+  node.connect("peer", peer.transport->port());
+  CHECK(node.awaitUp("peer"));
+  peer.ignoreNewConnections();
+  CHECK(node.awaitEvent("peer_silent"));
+  CHECK(peer.seen.wait([](const RawSeen& aSeen) { return aSeen.opened >= 2; }));
+  CHECK_EQUAL(0U, peer.seen.copy().closed);
+  CHECK_EQUAL(2U, node.seen.copy().down.size() + node.seen.copy().up.size());
+  peer.send(encodeFrame(message("peer", "node")));
+  CHECK(node.seen.wait([](const Seen& aSeen) { return aSeen.messages.size() == 1; }));
+  CHECK_EQUAL(2U, node.seen.copy().up.size());
+}
+
+// Guards against connections to dead peers that stay open for good and hold what is queued for them.
+TEST(PeerNetwork, closesAConnectionThatStaysSilent)
+{
+  Node node("node", [](PeerOptions& aOptions) {
+    aOptions.silence = Duration{ 100 };
+    aOptions.longestSilence = Duration{ 400 };
+  });
+  RawPeer peer("peer");
+  peer.connect(node.network->port());
+  CHECK(node.awaitUp("peer"));
+  CHECK(node.awaitEvent("peer_given_up"));
+  CHECK(peer.awaitClosed());
+  CHECK(node.awaitEvent("peer_down"));
+  CHECK_EQUAL(1U, node.seen.copy().down.size());
+}
+
 // Guards against a busy connection being taken for a dead one by a peer that has nothing to say.
 TEST(PeerNetwork, sendsHeartbeats)
 {
