Apply changes of the configuration to a version held a moment ago

Answers on a full link take seconds. A change in them is for the version that the gateway held when it polled; by the time it arrives, earlier changes have replaced that version. The gateway dropped such changes, and they were sent anew from the version that it held then, which is replaced in turn: with changes closer together than answers are under way, it got one change for each time on the way.

A gateway keeps the last eight tables, as many as the leader makes changes from, for 10 s, and applies a change to the one that it is for, if the result is newer than what it holds.

Tests: GatewayConfiguration.appliesChangesForAVersionThatItHeldAMomentAgo failed without the kept tables (404 for the added route); keepsANewerTableThanLateChangesLeadTo guards against going back.

--- a/include/rhubarbarch/gateway/events.h
+++ b/include/rhubarbarch/gateway/events.h
@@ -50,12 +50,12 @@
   std::string key;    ///< API key; empty: none
   HttpFields fields;  ///< header fields to forward
   std::shared_ptr<const std::string> body;
-  Duration deadline{ 0 };         ///< how long the caller waits; zero: not specified
-  Tokens promptTokens = 0;        ///< zero: no model call
-  Tokens maxOutputTokens = 0;     ///< zero: no model call
-  Tokens likelyOutputTokens = 0;  ///< the caller's estimate; zero: none
-  std::vector<PromptPart> prompt; ///< in order; the last part belongs to this request only
-  std::string lastEventId;        ///< the caller resumes a stream after this event; empty: from the beginning
+  Duration deadline{ 0 };              ///< how long the caller waits; zero: not specified
+  Tokens promptTokens = 0;             ///< zero: no model call
+  Tokens maxOutputTokens = 0;          ///< zero: no model call
+  Tokens likelyOutputTokens = 0;       ///< the caller's estimate; zero: none
+  std::vector<PromptPart> prompt;      ///< in order; the last part belongs to this request only
+  std::string lastEventId;             ///< the caller resumes a stream after this event; empty: from the beginning
   std::uint32_t connectionRequest = 0; ///< place among the requests of its connection, from 1
 };
 
--- a/include/rhubarbarch/net/peer_network.h
+++ b/include/rhubarbarch/net/peer_network.h
@@ -25,8 +25,8 @@
   std::string sharedKey;
   Duration heartbeat{ 1000 };
   Duration silence{ 3000 };          ///< without a frame for this long a peer counts as down and is connected to anew
-  Duration longestSilence{ 15'000 }; ///< a silent connection that nothing has replaced by then is closed; five heartbeat
-                                     ///< time-outs, as long as the longest deadline of a caller
+  Duration longestSilence{ 15'000 }; ///< a silent connection that nothing has replaced by then is closed; five
+                                     ///< heartbeat time-outs, as long as the longest deadline of a caller
   Duration handshakeTimeout{ 3000 }; ///< from the opened connection to both proofs
   Duration firstBackOff{ 100 };      ///< doubles up to `longestBackOff`; each wait is drawn from its upper half
   Duration longestBackOff{ 3000 };
--- a/include/rhubarbarch/router/events.h
+++ b/include/rhubarbarch/router/events.h
@@ -36,8 +36,8 @@
   std::string idempotencyKey; ///< empty when absent
   std::string contentType;
   std::string body;
-  std::string target; ///< path and query; only if HttpServerOptions::passFields
-  HttpFields fields;  ///< all header fields; only if HttpServerOptions::passFields
+  std::string target;                  ///< path and query; only if HttpServerOptions::passFields
+  HttpFields fields;                   ///< all header fields; only if HttpServerOptions::passFields
   std::uint32_t connectionRequest = 0; ///< place among the requests of its connection, from 1
 };
 
--- a/src/gateway/control.cpp
+++ b/src/gateway/control.cpp
@@ -20,6 +20,11 @@
 /// Versions above the one held whose times are kept; the earliest one decides.
 constexpr std::size_t kNewerVersionsKept = 64;
 
+/// Earlier tables that are kept, as many as the leader keeps to make changes from.
+constexpr std::size_t kEarlierTablesKept = 8;
+/// How long they are kept: changes that have been on their way for longer are of no use to callers any more.
+constexpr Duration kEarlierTableTime{ 10'000 };
+
 /// A gateway that cannot serve logs what it lacks once in this period.
 constexpr Duration kStartupReport{ 1500 };
 
@@ -265,6 +270,28 @@
   }
 }
 
+void
+removeOldTables(State& aState)
+{
+  auto& earlier = aState.earlierTables;
+  while (!earlier.empty() &&
+         (earlier.size() > kEarlierTablesKept || aState.now - earlier.front().replacedAt >= kEarlierTableTime)) {
+    earlier.pop_front();
+  }
+}
+
+/// @return the table of a version, in force or replaced a moment ago; null when it is not kept
+std::shared_ptr<const RouteIndex>
+findTable(const State& aState, std::int64_t aVersion)
+{
+  if (aState.index && aState.index->table.version == aVersion) {
+    return aState.index;
+  }
+  const auto found = std::ranges::find_if(
+    aState.earlierTables, [aVersion](const auto& aEach) { return aEach.index->table.version == aVersion; });
+  return found == aState.earlierTables.end() ? nullptr : found->index;
+}
+
 void
 updateRouting(State& aState, const RoutingTable& aTable, const Address& aFrom)
 {
@@ -272,6 +299,10 @@
     return;
   }
   const auto age = confirmationAgeMs(aState);
+  if (aState.index) {
+    aState.earlierTables.push_back({ aState.index, aState.now });
+    removeOldTables(aState);
+  }
   aState.index = makeRouteIndex(aTable);
   updateColdUpstreams(aState);
   aState.actions.emplace_back(LimitCallers{ aTable.limits });
@@ -291,9 +322,12 @@
 applyRoutingDelta(State& aState, const RoutingDelta& aDelta, const Address& aFrom)
 {
   const auto held = aState.index ? aState.index->table.version : 0;
-  if (held == aDelta.base) {
-    updateRouting(aState, applyDelta(aState.index->table, aDelta), aFrom);
-  } else if (held < aDelta.rest.version) {
+  if (held >= aDelta.rest.version) {
+    return;
+  }
+  if (const auto base = findTable(aState, aDelta.base)) {
+    updateRouting(aState, applyDelta(base->table, aDelta), aFrom);
+  } else {
     aState.link.routingRejected = true;
     pollSoon(aState);
     log(aState,
@@ -467,6 +501,7 @@
     return;
   }
   updateDemand(aState.budgets, aState.now);
+  removeOldTables(aState);
   rotateOnTimeout(aState);
   readListIfStale(aState);
   sendDue(aState);
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -99,6 +99,13 @@
   TimePoint at;
 };
 
+/// A routing table that another one has replaced.
+struct EarlierTable
+{
+  std::shared_ptr<const RouteIndex> index;
+  TimePoint replacedAt;
+};
+
 /// What is known of the age of the routing table.
 struct RoutingConfirmation
 {
@@ -182,6 +189,7 @@
   TimePoint startedAt;
 
   std::shared_ptr<const RouteIndex> index; ///< null: no routing table yet
+  std::deque<EarlierTable> earlierTables;  ///< changes for these may still be on their way; in order of versions
   RoutingConfirmation confirmation;
   Upstreams upstreams;
   PlanBudgets budgets;
--- a/tests/gateway/configuration_test.cpp
+++ b/tests/gateway/configuration_test.cpp
@@ -43,6 +43,24 @@
     return fleet.status();
   }
 
+  static void addRoute(RoutingTable & aTable)
+  {
+    auto added = aTable.routes.back();
+    added.name = "added";
+    added.pathPrefix = "/added-route/";
+    aTable.routes.push_back(added);
+  }
+
+  void answerWithChanges(const RoutingTable& aBase, const RoutingTable& aLater)
+  {
+    auto state = fleet.state();
+    state.hasRouting = false;
+    state.hasRoutingDelta = true;
+    state.routingDelta = makeDelta(aBase, aLater);
+    state.routingVersion = aLater.version;
+    fleet.handle(PeerMessage{ { kLeader, Role::kController }, state });
+  }
+
   /// Lets time pass in which the leader answers each poll but sends no document.
   void answerWithoutDocument(Duration aTime)
   {
@@ -134,13 +152,8 @@
   later.version = 6;
   auto base = fleet.table;
   base.version = 5;
-  auto state = fleet.state();
-  state.hasRouting = false;
-  state.hasRoutingDelta = true;
-  state.routingDelta = makeDelta(base, later);
-  state.routingVersion = 6;
   fleet.clearActions();
-  fleet.handle(PeerMessage{ { kLeader, Role::kController }, state });
+  answerWithChanges(base, later);
   fleet.tick(GatewayOptions{}.minPollInterval);
   const auto poll = fleet.lastPoll();
   CHECK(poll.routingRejected);
@@ -166,3 +179,34 @@
   fleet.call("/order/1");
   CHECK_EQUAL(1U, fleet.take<StartCall>().size());
 }
+
+// Guards against a table that falls further behind with each change: on a full link, answers take longer than changes
+// are apart, and the version that their changes are for has been replaced when they arrive.
+TEST(GatewayConfiguration, appliesChangesForAVersionThatItHeldAMomentAgo)
+{
+  fleet.start();
+  const auto base = fleet.table;
+  fleet.table.version = 4;
+  fleet.answer();
+  auto later = fleet.table;
+  later.version = 5;
+  addRoute(later);
+  answerWithChanges(base, later);
+  fleet.clearActions();
+  fleet.call("/added-route/1");
+  CHECK_EQUAL(1U, fleet.take<StartCall>().size());
+}
+
+// Guards against going back: changes that arrive late lead to a version before the one held.
+TEST(GatewayConfiguration, keepsANewerTableThanLateChangesLeadTo)
+{
+  fleet.start();
+  const auto base = fleet.table;
+  auto later = fleet.table;
+  later.version = 4;
+  addRoute(later);
+  fleet.table.version = 5;
+  fleet.answer();
+  answerWithChanges(base, later);
+  CHECK_EQUAL(404, statusOf("/added-route/1"));
+}
