Call a gateway not ready while its link is full

The balancer spreads callers by a hash, so that one small gateway may get three times the mean. Once its link was full it refused requests, but called itself ready: the balancer went on sending callers whose requests, 6 KB each, kept the link full although each was refused. Bytes waited up to 17 s, those of the controllers among them, and nearly all callers had left when their requests were read.

A gateway is not ready while connections to most upstreams time out for want of its link, and for 1.5 s after. It goes on serving what comes.

Test: GatewayLocalShortage.isNotReadyWhileTheLinkIsFull failed before.

--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -63,7 +63,10 @@
   if (!aState.upstreams.received) {
     return "no_upstreams";
   }
-  return supersededForLong(aState) ? "configuration_superseded" : "";
+  if (supersededForLong(aState)) {
+    return "configuration_superseded";
+  }
+  return linkShort(aState.shortage, aState.now) ? "link_short" : "";
 }
 
 void
--- a/src/gateway/local_shortage.cpp
+++ b/src/gateway/local_shortage.cpp
@@ -29,6 +29,9 @@
 /// One decrease a period: attempts that were made before the last one still time out.
 constexpr Duration kDecreasePeriod{ 500 };
 constexpr Duration kMeasurePeriod{ 1000 };
+/// Without another decrease for this long the link is free again: contacts count for a second, and the next decrease is
+/// due half a second after the last one.
+constexpr Duration kShortTime = kContactWindow + kDecreasePeriod;
 /// A measured rate below this says more about the load than about the link.
 constexpr double kSmallestLinkRate = 65536;
 
@@ -106,7 +109,7 @@
 lowerLinkShare(LocalShortage& aShortage, TimePoint aNow)
 {
   update(aShortage, aNow);
-  if (aNow - aShortage.loweredAt < kDecreasePeriod) {
+  if (aShortage.loweredAt && aNow - *aShortage.loweredAt < kDecreasePeriod) {
     return;
   }
   aShortage.loweredAt = aNow;
@@ -116,6 +119,12 @@
   aShortage.usableShare = std::max(kSmallestShare, aShortage.usableShare * kDecrease);
 }
 
+bool
+linkShort(const LocalShortage& aShortage, TimePoint aNow)
+{
+  return aShortage.loweredAt && aNow - *aShortage.loweredAt < kShortTime;
+}
+
 void
 recordSent(LocalShortage& aShortage, std::size_t aBytes, TimePoint aNow)
 {
--- a/src/gateway/local_shortage.h
+++ b/src/gateway/local_shortage.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <optional>
 #include <string>
 
 namespace rhubarbarch::gateway {
@@ -23,14 +24,14 @@
 /// connections to most of them time out at once, the link is the cause. Estimates what waits to be sent, too.
 struct LocalShortage
 {
-  std::deque<Contact> contacts; ///< within the last second, in order of time
-  double linkRate = 0;          ///< bytes a second that the link carries; zero: unknown
-  double usableShare = 1;       ///< of that rate; lowered while connections time out
-  double queuedBytes = 0;       ///< estimate of the bytes that wait to be sent
-  TimePoint updatedAt;          ///< when the estimate and the share were last updated
-  TimePoint loweredAt;          ///< when the share was last lowered
-  double sentInPeriod = 0;      ///< bytes handed to the sockets since `periodAt`
-  double sentRate = 0;          ///< bytes a second handed to the sockets in the last full period
+  std::deque<Contact> contacts;       ///< within the last second, in order of time
+  double linkRate = 0;                ///< bytes a second that the link carries; zero: unknown
+  double usableShare = 1;             ///< of that rate; lowered while connections time out
+  double queuedBytes = 0;             ///< estimate of the bytes that wait to be sent
+  TimePoint updatedAt;                ///< when the estimate and the share were last updated
+  std::optional<TimePoint> loweredAt; ///< when the share was last lowered
+  double sentInPeriod = 0;            ///< bytes handed to the sockets since `periodAt`
+  double sentRate = 0;                ///< bytes a second handed to the sockets in the last full period
   TimePoint periodAt;
   TimePoint loggedAt;
   std::uint64_t refused = 0;  ///< requests refused because the link is full
@@ -49,6 +50,11 @@
 void
 lowerLinkShare(LocalShortage& aShortage, TimePoint aNow);
 
+/// @return whether the share was lowered a moment ago: connections time out, because the link is full in either
+/// direction. What callers send fills it even when each request is refused.
+bool
+linkShort(const LocalShortage& aShortage, TimePoint aNow);
+
 /// Records bytes that were handed to the sockets.
 void
 recordSent(LocalShortage& aShortage, std::size_t aBytes, TimePoint aNow);
--- a/tests/gateway/local_shortage_test.cpp
+++ b/tests/gateway/local_shortage_test.cpp
@@ -111,3 +111,28 @@
   CHECK_EQUAL(503, answers.back().httpStatus);
   CHECK(answers.back().retryAfter > Duration{ 0 });
 }
+
+// Guards against a gateway that calls itself ready while its link is full: the balancer goes on sending it callers,
+// whose requests keep the link full although each is refused, and it hears nothing of the controllers for as long.
+TEST(GatewayLocalShortage, isNotReadyWhileTheLinkIsFull)
+{
+  Fixture fleet;
+  for (int upstream = 3; upstream < 9; ++upstream) {
+    const auto id = "d" + std::to_string(upstream);
+    fleet.upstreams.push_back({ id, "desk", "10.1.0." + std::to_string(upstream + 4) + ":80", "a", "v1", 4, 0, false });
+  }
+  fleet.start();
+  CHECK_TRUE(fleet.role.ready());
+  for (int request = 0; request < 4; ++request) {
+    fleet.call("/stock/1");
+    for (auto sent = fleet.take<StartCall>(); !sent.empty(); sent = fleet.take<StartCall>()) {
+      fleet.handle(UpstreamError{ sent.front().exchange, false, true, "no progress", false });
+    }
+  }
+  CHECK_FALSE(fleet.role.ready());
+  for (int poll = 0; poll < 10; ++poll) {
+    fleet.tick(GatewayOptions{}.pollPeriod);
+    fleet.answer();
+  }
+  CHECK_TRUE(fleet.role.ready());
+}
