Test sockets on the calls of the system; the platform fleet as shared support

Preparation for tests of broken answers. The platform fleet of the resource tests moves to tests/support, can route to an upstream that a test runs itself and to routes of given kinds; the resource tests keep their loads and bounds.

New: read() of a number of bytes, closeSending(), and wasReset(), which tells a reset from a close.

--- a/tests/net/net_support.h
+++ b/tests/net/net_support.h
@@ -4,19 +4,23 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/read.hpp>
-#include <boost/asio/write.hpp>
 
+#include <netinet/in.h>
 #include <sys/socket.h>
 #include <sys/time.h>
+#include <unistd.h>
 
+#include <cerrno>
 #include <chrono>
 #include <condition_variable>
 #include <functional>
 #include <future>
 #include <mutex>
+#include <stdexcept>
 #include <string>
+#include <string_view>
 #include <thread>
+#include <utility>
 
 namespace rhubarbarch::net {
 
@@ -98,30 +102,51 @@
   std::thread mThread;
 };
 
-/// A blocking TCP connection, so that tests control each byte.
+/// A blocking TCP connection, so that tests control each byte. On the calls of the system: clang-tidy takes the lock
+/// that Asio holds while a socket is made for held at each later wait.
 class RawSocket
 {
 public:
   explicit RawSocket(std::uint16_t aPort)
-    : mSocket(mContext)
+    : mSocket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
   {
-    mSocket.connect({ boost::asio::ip::make_address("127.0.0.1"), aPort });
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(aPort);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    if (mSocket < 0 || ::connect(mSocket, reinterpret_cast<sockaddr*>(&address), sizeof address) != 0) {
+      close();
+      throw std::runtime_error("no connection to port " + std::to_string(aPort));
+    }
     limit();
   }
 
   explicit RawSocket(boost::asio::ip::tcp::acceptor& aAcceptor)
-    : mSocket(mContext)
+    : mSocket(::accept4(aAcceptor.native_handle(), nullptr, nullptr, SOCK_CLOEXEC))
   {
-    aAcceptor.accept(mSocket);
+    if (mSocket < 0) {
+      throw std::runtime_error("no connection was accepted");
+    }
     limit();
   }
 
+  ~RawSocket() { close(); }
+  RawSocket(const RawSocket&) = delete;
+  RawSocket& operator=(const RawSocket&) = delete;
+  RawSocket(RawSocket&&) = delete;
+  RawSocket& operator=(RawSocket&&) = delete;
+
   /// Sends bytes; a peer that has closed is not an error. @return whether the bytes were taken
-  bool send(const std::string& aBytes)
+  bool send(std::string_view aBytes)
   {
-    boost::system::error_code error;
-    boost::asio::write(mSocket, boost::asio::buffer(aBytes), error);
-    return !error;
+    while (!aBytes.empty()) {
+      const auto sent = ::send(mSocket, aBytes.data(), aBytes.size(), MSG_NOSIGNAL);
+      if (sent < 0) {
+        return false;
+      }
+      aBytes.remove_prefix(static_cast<std::size_t>(sent));
+    }
+    return true;
   }
 
   /// Sends the same bytes over and over until the peer closes or `aMost` bytes were taken.
@@ -141,44 +166,66 @@
   {
     std::string text;
     char symbol = 0;
-    while (!text.ends_with(aEnd) && ::recv(mSocket.native_handle(), &symbol, 1, 0) == 1) {
+    while (!text.ends_with(aEnd) && ::recv(mSocket, &symbol, 1, 0) == 1) {
       text += symbol;
     }
     return text;
   }
 
+  /// @return aBytes bytes, or fewer when the connection closes
+  std::string read(std::size_t aBytes)
+  {
+    std::string text(aBytes, '\0');
+    const auto got = ::recv(mSocket, text.data(), text.size(), MSG_WAITALL);
+    text.resize(got < 0 ? 0 : static_cast<std::size_t>(got));
+    return text;
+  }
+
   /// @return everything up to the close of the connection
   std::string readAll()
   {
     std::string text;
     std::string part(std::size_t{ 64 } * 1024, '\0');
     for (;;) {
-      const auto got = ::recv(mSocket.native_handle(), part.data(), part.size(), 0);
+      const auto got = ::recv(mSocket, part.data(), part.size(), 0);
       if (got <= 0) {
+        mWasReset = got < 0 && errno == ECONNRESET;
         return text;
       }
       text.append(part, 0, static_cast<std::size_t>(got));
     }
   }
 
-  void close() { mSocket.close(); }
+  /// @return whether readAll() ended with a reset of the connection, not with its close
+  bool wasReset() const { return mWasReset; }
+
+  void close()
+  {
+    if (mSocket >= 0) {
+      ::close(std::exchange(mSocket, -1));
+    }
+  }
+
+  /// Closes the connection in the direction to the peer only.
+  void closeSending() { ::shutdown(mSocket, SHUT_WR); }
 
   /// Resets the connection, as the system of a crashed process does with unread bytes.
   void reset()
   {
-    mSocket.set_option(boost::asio::socket_base::linger(true, 0));
-    mSocket.close();
+    const linger resets{ 1, 0 };
+    ::setsockopt(mSocket, SOL_SOCKET, SO_LINGER, &resets, sizeof resets);
+    close();
   }
 
 private:
   void limit()
   {
     const timeval limit{ kTestLimit.count(), 0 };
-    ::setsockopt(mSocket.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
+    ::setsockopt(mSocket, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
   }
 
-  boost::asio::io_context mContext;
-  boost::asio::ip::tcp::socket mSocket;
+  int mSocket;
+  bool mWasReset = false;
 };
 
 /// A listening port whose connections the test accepts itself.
--- a/tests/resources/platform_fleet.h
+++ b/tests/support/platform_fleet.h
@@ -112,14 +112,22 @@
   int headerTimeoutMs = 10'000;
 };
 
+/// What a fleet routes to.
+struct FleetUpstream
+{
+  std::uint16_t port = 0;                                           ///< of a server of the test; 0: one of the fleet
+  std::map<std::string, std::string> kinds = { { "/a/", "safe" } }; ///< of routes, by the prefix of their paths
+};
+
 /// A controller and a gateway as real processes of the platform, an upstream and the platform's list as stand-ins.
 ///
 /// Usage: `PlatformFleet fleet({}); if (!fleet.start()) { fail(fleet.logTails()); }`.
 class PlatformFleet
 {
 public:
-  explicit PlatformFleet(FleetLimits aLimits)
+  explicit PlatformFleet(FleetLimits aLimits, FleetUpstream aUpstream = {})
     : mLimits(aLimits)
+    , mKinds(std::move(aUpstream.kinds))
     , mFolder(programFolder() / "resource-tests" / std::to_string(::getpid()))
   {
     std::filesystem::remove_all(mFolder);
@@ -128,7 +136,8 @@
     mFront = ports[0];
     mReady = ports[1];
     mControl = ports[2];
-    mUpstreamPort = ports[3];
+    mUpstreamPort = aUpstream.port == 0 ? ports[3] : aUpstream.port;
+    mOwnsUpstream = aUpstream.port == 0;
     mListPort = ports[4];
     mFirstPort = freeRange();
   }
@@ -147,15 +156,9 @@
   /// Starts everything and waits until the gateway has answered an ordinary request.
   bool start()
   {
-    mUpstream =
-      std::make_unique<StandIn>(mUpstreamPort, [this](net::HttpServer& aServer, const router::CallerRequest& aRequest) {
-        ++mCalls;
-        if (aRequest.target.starts_with("/a/endless")) {
-          sendWithoutEnd(aServer, aRequest, kEndlessBytes);
-        } else if (!aRequest.target.starts_with("/a/hold")) {
-          sendAnswer(aServer, aRequest, "done");
-        }
-      });
+    if (mOwnsUpstream) {
+      startUpstream();
+    }
     const auto list = nlohmann::json{
       { "Instances",
         { { { "Id", "i-1" },
@@ -263,18 +266,40 @@
     return *found;
   }
 
+  void startUpstream()
+  {
+    mUpstream =
+      std::make_unique<StandIn>(mUpstreamPort, [this](net::HttpServer& aServer, const router::CallerRequest& aRequest) {
+        ++mCalls;
+        if (aRequest.target.starts_with("/a/endless")) {
+          sendWithoutEnd(aServer, aRequest, kEndlessBytes);
+        } else if (!aRequest.target.starts_with("/a/hold")) {
+          sendAnswer(aServer, aRequest, "done");
+        }
+      });
+  }
+
   std::string configuration(int aVersion, int aMaxHeaderBytes) const
   {
-    const nlohmann::json route = { { "Name", "r" },       { "Hostname", "127.0.0.1" }, { "PathPrefix", "/a/" },
-                                   { "Kind", "safe" },    { "TimeoutMs", 20'000 },     { "TargetLatencyMs", 10'000 },
-                                   { "Service", "desk" }, { "MaxAttempts", 1 },        { "Public", true } };
+    auto routes = nlohmann::json::array();
+    for (const auto& [prefix, kind] : mKinds) {
+      routes.push_back({ { "Name", "r" + prefix },
+                         { "Hostname", "127.0.0.1" },
+                         { "PathPrefix", prefix },
+                         { "Kind", kind },
+                         { "TimeoutMs", 20'000 },
+                         { "TargetLatencyMs", 10'000 },
+                         { "Service", "desk" },
+                         { "MaxAttempts", 1 },
+                         { "Public", true } });
+    }
     const nlohmann::json limits = { { "MaxHeaderBytes", aMaxHeaderBytes },
                                     { "MaxBodyBytes", mLimits.maxBodyBytes },
                                     { "HeaderTimeoutMs", mLimits.headerTimeoutMs },
                                     { "IdleTimeoutMs", 30'000 } };
     const nlohmann::json document = {
       { "Version", aVersion },
-      { "Routes", nlohmann::json::array({ route }) },
+      { "Routes", routes },
       { "Services", { { { "Name", "desk" }, { "HealthPath", "/healthz" }, { "MaxConns", 4000 } } } },
       { "Limits", limits }
     };
@@ -309,11 +334,13 @@
   }
 
   FleetLimits mLimits;
+  std::map<std::string, std::string> mKinds;
   std::filesystem::path mFolder;
   std::uint16_t mFront = 0;
   std::uint16_t mReady = 0;
   std::uint16_t mControl = 0;
   std::uint16_t mUpstreamPort = 0;
+  bool mOwnsUpstream = true;
   std::uint16_t mListPort = 0;
   std::uint16_t mFirstPort = 0;
   std::atomic<int> mCalls{ 0 };
