An answer without length ends with its connection only if that did not fail

What callers saw: an upstream answered a long upload at once with a 200 without length, sent part of its body and reset the connection while the upload was being written. Callers got the part as a whole answer: gathered answers as 200 with the part as body, streams with their last chunk after the events that had come.

Cause: the operating system reports a reset once. The write of the upload takes it, Exchange::sent() goes on to read, as it must for an upstream that refuses early, and the read finds the bytes that came and then an end of file, as after a clean close. The same holds for a reset that comes behind a close when the system has taken the whole upload: the read reports the close and never the reset.

Fix: at the end of an answer that ends with its connection, a failed write or an error that the socket still holds (SO_ERROR) makes the exchange fail. A stated length or a last chunk still ends an answer by itself. A connection whose write failed, or that ended with its answer, is not kept either; it was until its next use, which found it closed.

What callers get instead: 502 where nothing was passed on yet, and a broken-off stream without its last chunk otherwise; an answer of 4xx or 5xx in this form is a 502, too. The failure counts as one after the request was sent: it may have run, so the refusal doesn't promise otherwise, and a call that may not be repeated isn't.

Kin, by reading: all answers of upstreams, of the platform's list, of engine polls and orders are read by this class. Reads that fail by themselves, short lengths and missing last chunks were failures before.

--- a/src/net/http_exchange.cpp
+++ b/src/net/http_exchange.cpp
@@ -42,6 +42,7 @@
 // A kept connection is not used in the last part of its server's time-out, when a close may be on its way.
 constexpr std::chrono::milliseconds kKeepAliveMargin{ 500 };
 using UserTimeout = boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+using PendingError = boost::asio::detail::socket_option::integer<SOL_SOCKET, SO_ERROR>;
 constexpr Duration kCongestedRetry{ 10 };
 
 std::string
@@ -95,6 +96,16 @@
   return error == boost::asio::error::would_block;
 }
 
+/// The error that no read or write has reported yet. A read reports a close first and a reset behind it never.
+error_code
+pendingError(const tcp::socket& aSocket)
+{
+  PendingError pending;
+  error_code error;
+  ignoreError(aSocket.get_option(pending, error));
+  return error ? error : error_code(pending.value(), boost::system::system_category());
+}
+
 class Exchange
   : public HttpExchange
   , public std::enable_shared_from_this<Exchange>
@@ -127,6 +138,7 @@
   void readBody();
   void bodyRead(const error_code& aError);
   void deliver(std::string aData);
+  error_code connectionError() const;
   void finish();
   void failed(const std::string& aDetail, bool aSilent = false);
   void armTimer(Duration aTimeout, const char* aWhat);
@@ -146,6 +158,7 @@
   std::vector<char> mChunk; ///< empty until the answer's body is read, since most calls wait for long
   std::string mHeld;        ///< read before a pause took effect
   bool mMayBeSent = false;  ///< a write was begun and did not end with zero bytes written
+  error_code mSendError;    ///< of a request that was sent in part
   int mInterimAnswers = 0;
   bool mReused = false;
   bool mAnswered = false; ///< a byte of the answer was read
@@ -249,6 +262,7 @@
     }
     return;
   }
+  mSendError = aError;
   prepareParser();
   readHead();
 }
@@ -383,13 +397,25 @@
   }
 }
 
+/// A failed write takes the error from the socket, which then reads as closed.
+error_code
+Exchange::connectionError() const
+{
+  return mSendError ? mSendError : pendingError(mSocket);
+}
+
 void
 Exchange::finish()
 {
+  // The end of the connection is the end of an answer without length only if the connection did not fail.
+  if (const auto error = mParser->need_eof() ? connectionError() : error_code()) {
+    failed("answer without length: " + error.message());
+    return;
+  }
   const auto self = shared_from_this();
   mOver = true;
   mTimer.cancel();
-  if (mCall.keep && mParser->get().keep_alive() && mBuffer.size() == 0) {
+  if (mCall.keep && mParser->keep_alive() && mBuffer.size() == 0 && !mSendError) {
     keepConnection();
   }
   close();
--- /dev/null
+++ b/tests/net/broken_answers_test.cpp
@@ -0,0 +1,167 @@
+#include "net_support.h"
+#include "rhubarbarch/net/http_exchange.h"
+
+#include <memory>
+#include <string>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace rhubarbarch;
+using namespace rhubarbarch::net;
+
+namespace {
+
+/// More than the socket buffers of both ends hold, so that a server that reads nothing keeps the caller writing.
+constexpr std::size_t kLongUpload = std::size_t{ 64 } * 1024 * 1024;
+
+struct Seen
+{
+  int heads = 0;
+  std::int32_t status = 0;
+  std::string data;
+  bool ended = false;
+  bool failed = false;
+};
+
+} // namespace
+
+// A stand-in for an upstream in trouble, on real sockets.
+TEST_GROUP(BrokenAnswers)
+{
+  LoopThread loop;
+  RawListener listener;
+  Watched<Seen> seen;
+  std::shared_ptr<HttpPool> pool;
+  std::shared_ptr<HttpExchange> exchange;
+  bool pausesAtHead = false;
+
+  void setup() override
+  {
+    pool = std::make_shared<HttpPool>(HttpPool{ loop.context, { "127.0.0.1", listener.port() }, {}, 4 });
+  }
+
+  void teardown() override
+  {
+    loop.run([&] {
+      exchange->cancel();
+      exchange.reset();
+      pool->idle.clear();
+    });
+    loop.stop();
+  }
+
+  void start(std::size_t aUploadBytes)
+  {
+    seen.change([](Seen& aSeen) { aSeen = {}; });
+    HttpCall call;
+    call.method = "POST";
+    call.body = std::make_shared<const std::string>(aUploadBytes, 'u');
+    call.keep = true;
+    HttpCallEvents events;
+    events.head = [this](const HttpAnswerHead& aHead) {
+      if (pausesAtHead) {
+        exchange->pause();
+      }
+      seen.change([&](Seen& aSeen) {
+        ++aSeen.heads;
+        aSeen.status = aHead.status;
+      });
+    };
+    events.data = [this](std::string&& aData) { seen.change([&](Seen& aSeen) { aSeen.data += aData; }); };
+    events.end = [this] { seen.change([](Seen& aSeen) { aSeen.ended = true; }); };
+    events.error = [this](const HttpFailure&) { seen.change([](Seen& aSeen) { aSeen.failed = true; }); };
+    loop.run([&] { exchange = startHttpExchange(pool, std::move(call), std::move(events)); });
+  }
+
+  /// Accepts the connection of the exchange and reads the head of its request.
+  std::unique_ptr<RawSocket> acceptCall()
+  {
+    auto upstream = std::make_unique<RawSocket>(listener.acceptor);
+    upstream->readUntil("\r\n\r\n");
+    return upstream;
+  }
+
+  /// Waits for the last event of the exchange.
+  Seen outcome()
+  {
+    CHECK(seen.wait([](const Seen& aSeen) { return aSeen.ended || aSeen.failed; }));
+    return seen.copy();
+  }
+
+  std::size_t keptConnections()
+  {
+    std::size_t kept = 0;
+    loop.run([&] { kept = pool->idle.size(); });
+    return kept;
+  }
+};
+
+// Guards against the part of an answer without length that came before a reset being taken for the whole answer: the
+// failed write of the upload takes the reset from the socket, which then reads as closed.
+TEST(BrokenAnswers, aResetDuringTheUploadEndsNoAnswer)
+{
+  for (const std::size_t partBytes : { 0, 10, 16 * 1024, 100'000 }) {
+    for (const bool closesFirst : { false, true }) {
+      start(kLongUpload);
+      const auto upstream = acceptCall();
+      upstream->send("HTTP/1.1 200 OK\r\n\r\n" + std::string(partBytes, 'p'));
+      if (closesFirst) {
+        upstream->closeSending();
+      }
+      upstream->reset();
+      const auto answer = outcome();
+      CHECK(answer.failed);
+      CHECK_FALSE(answer.ended);
+      CHECK_EQUAL(0, keptConnections());
+    }
+  }
+}
+
+// Guards against the same where the system has taken the whole upload and the reset comes behind a close.
+TEST(BrokenAnswers, aResetBehindACloseEndsNoAnswer)
+{
+  pausesAtHead = true;
+  start(std::size_t{ 256 } * 1024);
+  const auto upstream = acceptCall();
+  upstream->send("HTTP/1.1 200 OK\r\n\r\npart");
+  CHECK(seen.wait([](const Seen& aSeen) { return aSeen.heads == 1; }));
+  upstream->closeSending();
+  upstream->reset();
+  loop.run([&] { exchange->resume(); });
+  const auto answer = outcome();
+  CHECK(answer.failed);
+  CHECK_FALSE(answer.ended);
+}
+
+// Guards against an answer without length being taken for broken although its upstream closes it properly and reads the
+// rest of the upload.
+TEST(BrokenAnswers, anEarlyAnswerEndsWithItsConnection)
+{
+  start(kLongUpload);
+  const auto upstream = acceptCall();
+  upstream->send("HTTP/1.1 200 OK\r\n\r\nwhole");
+  upstream->closeSending();
+  CHECK_EQUAL(kLongUpload, upstream->readAll().size());
+  const auto answer = outcome();
+  CHECK(answer.ended);
+  STRCMP_EQUAL("whole", answer.data.c_str());
+  CHECK_EQUAL(0, keptConnections());
+}
+
+// Guards against an early refusal that is whole by its length or its chunks being lost with the rest of the upload, and
+// against its connection being used again.
+TEST(BrokenAnswers, aResetLeavesAnAnswerWithLengthWhole)
+{
+  for (const std::string rest :
+       { "Content-Length: 5\r\n\r\nwhole", "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n" }) {
+    start(kLongUpload);
+    const auto upstream = acceptCall();
+    upstream->send("HTTP/1.1 413 Payload Too Large\r\n" + rest);
+    upstream->reset();
+    const auto answer = outcome();
+    CHECK(answer.ended);
+    CHECK_EQUAL(413, answer.status);
+    STRCMP_EQUAL("whole", answer.data.c_str());
+    CHECK_EQUAL(0, keptConnections());
+  }
+}
