Reset a connection whose answer to a caller of HTTP/1.0 breaks off

What callers saw: an answer without a length goes to a caller of HTTP/1.0 without chunks and ends with the connection. When its upstream broke off, the connection was closed, so the caller took the part for the whole answer. Callers of HTTP/1.1 miss the last chunk.

Cause: Connection::close() closes an answer in progress like one that is complete. It now resets the connection where the close would be the end of the answer. Answers that are complete pass another way, by a shutdown after their last byte.

Evidence: HttpServer.abortedAnswerToHttp10IsReset failed before ("CHECK(caller.wasReset()) failed") and passes now; the bytes that were written before the reset still arrive. test_net passes.

--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -195,10 +195,11 @@
   bool mStarved = false; ///< reading has stopped for lack of memory
   bool mHeadRead = false;
   bool mCongested = false;
-  bool mHeadOnly = false;  ///< the answer has no body on the wire
-  bool mChunked = false;   ///< the answer is framed in chunks
-  bool mKeepAlive = false; ///< after this answer
-  bool mEnded = false;     ///< the whole answer is queued
+  bool mHeadOnly = false;   ///< the answer has no body on the wire
+  bool mChunked = false;    ///< the answer is framed in chunks
+  bool mUntilClose = false; ///< the answer ends with the connection
+  bool mKeepAlive = false;  ///< after this answer
+  bool mEnded = false;      ///< the whole answer is queued
   bool mHttp10 = false;
   std::uint64_t mBodyLeft = 0; ///< of an answer with a length
 };
@@ -230,6 +231,7 @@
   mParser->eager(true);
   mHeadRead = false;
   mHeadOnly = false;
+  mUntilClose = false;
   mHeadBytes = 0;
   mAnnounced = 0;
   mWindowBody = 0;
@@ -556,6 +558,7 @@
   const bool bodyless = aHead.httpStatus == 204 || aHead.httpStatus == 304;
   mHeadOnly = mHeadOnly || bodyless;
   mChunked = aHead.chunked && !mHttp10;
+  mUntilClose = aHead.chunked && !mChunked;
   mKeepAlive = mKeepAlive && !mShared->stopping && (mChunked || !aHead.chunked);
   mBodyLeft = aHead.contentLength;
   queue(answerHead(aHead, { mChunked, mKeepAlive, bodyless }), false);
@@ -783,6 +786,10 @@
     return;
   }
   error_code ignored;
+  if (mPhase == Phase::kAnswering && mUntilClose) {
+    // An answer that breaks off must not look whole: a reset instead of a close.
+    ignoreError(mSocket.set_option(boost::asio::socket_base::linger(true, 0), ignored));
+  }
   ignoreError(mSocket.close(ignored));
   mTimer.cancel();
   mWriteTimer.cancel();
--- a/tests/net/http_server_test.cpp
+++ b/tests/net/http_server_test.cpp
@@ -449,6 +449,26 @@
   CHECK_EQUAL(0U, server->answersInProgress());
 }
 
+// Guards against the same for a caller of HTTP/1.0, to whom the close of the connection is the end of a chunked answer.
+TEST(HttpServer, abortedAnswerToHttp10IsReset)
+{
+  start();
+  RawSocket caller(server->port());
+  caller.send("GET / HTTP/1.0\r\n\r\n");
+  const auto id = awaitRequest(1).caller;
+  loop.run([&] {
+    router::ReplyHead head;
+    head.caller = id;
+    head.chunked = true;
+    server->reply(head);
+    server->reply(router::ReplyBody{ id, "part" });
+  });
+  CHECK(seen.wait([&](const Seen& aSeen) { return aSeen.drained.contains(id); }));
+  loop.run([&] { server->reply(router::ReplyAbort{ id }); });
+  CHECK(caller.readAll().ends_with("\r\n\r\npart"));
+  CHECK(caller.wasReset());
+}
+
 // Guards against a caller that does not read being counted as having read, or delaying another caller.
 TEST(HttpServer, slowReaderIsNotDrained)
 {
