A message whose status is outside 100 to 599 is no answer

What callers saw: an upstream in trouble sends the status 000. The exchange took every status below 200 for an interim answer, skipped its head and read the bytes behind it as the next head: a body that reads as an answer was believed, and with any other body on a connection that stays open the call waited until its deadline. 600 to 999 were passed on as they came. The operator's tool showed all of them as answers of the fleet.

Cause: the parser takes any three digits for a status, and nothing behind it checked the range (RFC 9110, section 15: 100 to 599). Now such a message fails the call and closes its connection, in both places where answers are parsed; the failure counts as one after the request was sent. Only 100 to 199 are interim. A status that is not three digits was refused by the parser before.

Kin, by reading: the two parsers are the only ones for answers. The agent marks "no head yet" by status 0 and no longer meets an upstream's 0.

--- a/src/ctl/http_client.cpp
+++ b/src/ctl/http_client.cpp
@@ -1,5 +1,7 @@
 #include "http_client.h"
 
+#include "rhubarbarch/base/http_status.h"
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/address.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -82,6 +84,10 @@
     return failure(failed.code, settings::toString(aServer) + ": " + failed.detail);
   }
   const auto& response = parser.get();
+  if (!isHttpStatus(response.result_int())) {
+    const auto status = std::to_string(response.result_int());
+    return failure(ErrorCode::kProtocol, settings::toString(aServer) + ": status " + status + " is out of range");
+  }
   auto body = nlohmann::json::parse(response.body(), nullptr, false);
   if (body.is_discarded()) {
     return failure(ErrorCode::kParse, settings::toString(aServer) + ": the answer is not JSON");
--- a/src/ctl/http_client.h
+++ b/src/ctl/http_client.h
@@ -30,8 +30,8 @@
 /// @param aToken bearer token; empty: none is sent
 /// @param aTimeout for the whole call
 /// @return the answer; kUnavailable when no connection could be opened, kDeadline when the answer is late, kIo when the
-/// connection broke off, kParse when the answer is not JSON. Usage: `call(server, token, {"GET", "/v1/lists", {}},
-/// 5s)`.
+/// connection broke off, kProtocol when its status is out of range, kParse when the answer is not JSON. Usage:
+/// `call(server, token, {"GET", "/v1/lists", {}}, 5s)`.
 Result<Reply>
 call(const settings::Endpoint& aServer, const std::string& aToken, const Call& aCall, Duration aTimeout);
 
--- a/src/net/http_exchange.cpp
+++ b/src/net/http_exchange.cpp
@@ -1,6 +1,7 @@
 #include "rhubarbarch/net/http_exchange.h"
 
 #include "ignore_error.h"
+#include "rhubarbarch/base/http_status.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
@@ -301,7 +302,12 @@
     return;
   }
   mAnswered = true;
-  if (mParser->get().result_int() < 200) {
+  const auto status = mParser->get().result_int();
+  if (!isHttpStatus(status)) {
+    failed("answer: status " + std::to_string(status) + " is out of range");
+    return;
+  }
+  if (status < 200) {
     if (++mInterimAnswers > kMaxInterimAnswers) {
       failed("answer: too many interim answers");
       return;
@@ -311,7 +317,7 @@
     return;
   }
   HttpAnswerHead head;
-  head.status = static_cast<std::int32_t>(mParser->get().result_int());
+  head.status = static_cast<std::int32_t>(status);
   head.contentType = std::string(mParser->get()[http::field::content_type]);
   for (const auto& field : mParser->get()) {
     head.fields.push_back({ std::string(field.name_string()), std::string(field.value()) });
--- a/tests/answers/answers_test.cpp
+++ b/tests/answers/answers_test.cpp
@@ -103,6 +103,14 @@
   std::thread mThread;
 };
 
+/// A signed message with a length.
+std::string
+withStatus(const std::string& aStatus, const std::string& aBody)
+{
+  return "HTTP/1.1 " + aStatus + " X\r\n" + kSigned + "Content-Length: " + std::to_string(aBody.size()) + "\r\n\r\n" +
+         aBody;
+}
+
 } // namespace
 
 // Broken answers of an upstream as a caller of a real gateway sees them.
@@ -167,3 +175,18 @@
     CHECK(!answer.whole || answer.status == 502);
   }
 }
+
+// Guards against callers getting a message whose status is none, or the bytes behind its head, as an answer.
+TEST(Answers, noStatusOutOfRangeIsPassedOn)
+{
+  for (const std::string status : { "000", "099", "600", "999" }) {
+    for (const auto& body : { std::string("body"), kSound }) {
+      upstream.sendFromNowOn({ withStatus(status, body) });
+      for (const std::string prefix : { "/a/", "/once/", "/s/" }) {
+        const auto answer = callBroken(prefix, 1);
+        CHECK_EQUAL(502, answer.status);
+        CHECK(answer.body.find("upstream_failed") != std::string::npos);
+      }
+    }
+  }
+}
--- a/tests/net/broken_answers_test.cpp
+++ b/tests/net/broken_answers_test.cpp
@@ -3,6 +3,7 @@
 
 #include <memory>
 #include <string>
+#include <vector>
 
 #include <CppUTest/TestHarness.h>
 
@@ -23,6 +24,12 @@
   bool failed = false;
 };
 
+std::string
+withStatus(const std::string& aStatus, const std::string& aRest)
+{
+  return "HTTP/1.1 " + aStatus + " Trouble\r\n" + aRest;
+}
+
 } // namespace
 
 // A stand-in for an upstream in trouble, on real sockets.
@@ -165,3 +172,31 @@
     CHECK_EQUAL(0, keptConnections());
   }
 }
+
+// Guards against a message whose status is none being passed on, or its body being read as the next answer.
+TEST(BrokenAnswers, aStatusOutOfRangeIsNoAnswer)
+{
+  const std::string whole = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother";
+  const std::vector<std::string> rests = { "Content-Length: 4\r\n\r\nbody",
+                                           "Content-Length: 0\r\n\r\n",
+                                           "\r\n",
+                                           "Content-Length: 0\r\n\r\n" + whole,
+                                           "Content-Length: " + std::to_string(whole.size()) + "\r\n\r\n" + whole,
+                                           "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+                                           "\r\nbody" };
+  for (const std::string status : { "000", "001", "099", "600", "999", "0", "00", "0000", "-00", "" }) {
+    for (const std::string interim : { "", "HTTP/1.1 100 Continue\r\n\r\n" }) {
+      for (const auto& rest : rests) {
+        start(0);
+        const auto upstream = acceptCall();
+        upstream->send(interim);
+        upstream->send(withStatus(status, rest));
+        const auto answer = outcome();
+        CHECK(answer.failed);
+        CHECK_EQUAL(0, answer.heads);
+        STRCMP_EQUAL("", upstream->readAll().c_str());
+      }
+    }
+  }
+  CHECK_EQUAL(0, keptConnections());
+}
