Refuse the head of an answer in which a line begins with a blank

What callers saw: the name of a field in an answer's head held a blank or a control byte, and the line was passed on, or the body was not the upstream's. Here this happens where the blank or tab comes first in a line: behind `X-Response-Signature: abc` the line ` X-Other: y` went on to callers as the signature `abc X-Other: y`, and a line ` Content-Length: 4` was lost, so that the body lasted until the close of the connection.

Cause: the parser takes such a line for the continuation of the value before it (line folding). RFC 9112, section 5.2, lets a gateway refuse the answer or replace the fold; a replaced fold still changes a value that callers check. The exchange now reads the head in its own loop, looks at the bytes that the parser took and fails the call with "bad field" when a line in them begins with a blank. The parser takes a field together with the lines folded into it, so a head that comes in parts hides none. Failures count as before, as ones after the request was sent.

The loop also notes an answer as begun with its first byte. Before, a head that broke off exactly behind a line left that out, and the call counted as one that a kept connection had not answered.

Evidence: without the change, BrokenAnswers.aFieldNameWithABlankOrControlByteIsNoAnswer (34 bytes in front of, within and behind three names, on the first, a later and the last line) and aLineWithABlankIsFoundInParts fail over real sockets, and Answers.noFieldNameWithABlankOrControlByteIsPassedOn gets 200 through a real gateway. With it all pass.

Ruled out: waiting for the whole head before parsing would also find each fold, but bytes that are no answer, on a connection that stays open, would then hold the call until its deadline.

Kin, by reading: requests of callers are not answers and keep their handling. The operator's tool reads heads with the library's own loop and uses none of their fields; a body of another length is no JSON there and an error.

--- a/src/net/http_exchange.cpp
+++ b/src/net/http_exchange.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/read_size.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
@@ -97,6 +98,14 @@
   return error == boost::asio::error::would_block;
 }
 
+/// Whether a line of the head begins with a blank. The parser joins such a line to the value before it (line folding,
+/// RFC 9112, section 5.2), so a field in it, such as a length, would be lost and passed on as a part of another one.
+bool
+hasFoldedLine(std::string_view aHead)
+{
+  return aHead.find("\r\n ") != std::string_view::npos || aHead.find("\r\n\t") != std::string_view::npos;
+}
+
 /// The error that no read or write has reported yet. A read reports a close first and a reset behind it never.
 error_code
 pendingError(const tcp::socket& aSocket)
@@ -135,6 +144,9 @@
   void sent(const error_code& aError, std::size_t aBytes);
   void prepareParser();
   void readHead();
+  void receiveHead();
+  void headReceived(const error_code& aError, std::size_t aBytes);
+  void parseHead();
   void headRead(const error_code& aError);
   void readBody();
   void bodyRead(const error_code& aError);
@@ -282,10 +294,56 @@
 Exchange::readHead()
 {
   armTimer(mCall.timeout, "waiting for the answer");
-  http::async_read_header(
-    mSocket, mBuffer, *mParser, [self = shared_from_this()](const error_code& aError, std::size_t) {
-      self->headRead(aError);
-    });
+  parseHead();
+}
+
+void
+Exchange::receiveHead()
+{
+  const auto space = mBuffer.prepare(boost::beast::read_size(mBuffer, kReadBytes));
+  mSocket.async_read_some(space, [self = shared_from_this()](const error_code& aError, std::size_t aBytes) {
+    self->headReceived(aError, aBytes);
+  });
+}
+
+void
+Exchange::headReceived(const error_code& aError, std::size_t aBytes)
+{
+  if (mOver) {
+    return;
+  }
+  mAnswered = mAnswered || aBytes > 0;
+  mBuffer.commit(aBytes);
+  if (!aError) {
+    parseHead();
+  } else if (aError == boost::asio::error::eof) {
+    headRead(mParser->got_some() ? http::error::partial_message : http::error::end_of_stream);
+  } else {
+    headRead(aError);
+  }
+}
+
+/// Parses what has come of the head. The parser takes a field together with the lines that are folded into it.
+void
+Exchange::parseHead()
+{
+  error_code error;
+  const auto received = mBuffer.data();
+  const auto taken = mParser->put(received, error);
+  if (error && error != http::error::need_more) {
+    headRead(error);
+    return;
+  }
+  if (hasFoldedLine({ static_cast<const char*>(received.data()), taken })) {
+    headRead(http::error::bad_field);
+    return;
+  }
+  mBuffer.consume(taken);
+  if (error) {
+    receiveHead();
+  } else {
+    headRead({});
+  }
 }
 
 void
@@ -295,13 +353,11 @@
     return;
   }
   if (aError) {
-    mAnswered = mAnswered || mBuffer.size() > 0;
     if (!retryOnNewConnection()) {
       failed("answer: " + aError.message());
     }
     return;
   }
-  mAnswered = true;
   const auto status = mParser->get().result_int();
   if (!isHttpStatus(status)) {
     failed("answer: status " + std::to_string(status) + " is out of range");
--- a/tests/answers/answers_test.cpp
+++ b/tests/answers/answers_test.cpp
@@ -111,6 +111,13 @@
          aBody;
 }
 
+/// A signed message with the line behind its signature.
+std::string
+withLine(const std::string& aLine)
+{
+  return "HTTP/1.1 200 OK\r\n" + kSigned + aLine + "\r\n\r\nbody";
+}
+
 } // namespace
 
 // Broken answers of an upstream as a caller of a real gateway sees them.
@@ -190,3 +197,20 @@
     }
   }
 }
+
+// Guards against callers getting a line that is no field, or a body without the length that such a line stated.
+TEST(Answers, noFieldNameWithABlankOrControlByteIsPassedOn)
+{
+  for (const std::string line : { " X-Other: y",
+                                  "\tX-Other: y",
+                                  "X Other: y",
+                                  "X-Other : y",
+                                  "X\x01Other: y",
+                                  " Content-Length: 2",
+                                  "\rX: y" }) {
+    upstream.sendFromNowOn({ withLine(line) });
+    for (const std::string prefix : { "/a/", "/once/", "/s/" }) {
+      CHECK_EQUAL(502, callBroken(prefix, 1).status);
+    }
+  }
+}
--- a/tests/net/broken_answers_test.cpp
+++ b/tests/net/broken_answers_test.cpp
@@ -194,9 +194,77 @@
         const auto answer = outcome();
         CHECK(answer.failed);
         CHECK_EQUAL(0, answer.heads);
-        STRCMP_EQUAL("", upstream->readAll().c_str());
+        CHECK(upstream->awaitClose());
       }
     }
   }
   CHECK_EQUAL(0, keptConnections());
 }
+
+// Guards against a head in which the name of a field holds a blank or a control byte: its line is passed on, or left
+// out where it says how the body ends.
+TEST(BrokenAnswers, aFieldNameWithABlankOrControlByteIsNoAnswer)
+{
+  std::string bytes = " \x7f";
+  for (char byte = 0; byte < ' '; ++byte) {
+    bytes += byte;
+  }
+  for (const char byte : bytes) {
+    for (const std::string name : { "X-Field", "Content-Length", "Connection" }) {
+      for (const std::size_t place : { std::size_t{ 0 }, std::size_t{ 4 }, name.size() }) {
+        auto line = name;
+        line.insert(place, 1, byte);
+        line += ": 4\r\n";
+        for (const auto& fields : { line, line + "X-Other: y\r\n", "X-Other: y\r\n" + line }) {
+          start(0);
+          const auto upstream = acceptCall();
+          upstream->send("HTTP/1.1 200 OK\r\n" + fields + "\r\nbody");
+          upstream->closeSending();
+          const auto answer = outcome();
+          CHECK(answer.failed);
+          CHECK_EQUAL(0, answer.heads);
+          CHECK(upstream->awaitClose());
+        }
+      }
+    }
+  }
+  CHECK_EQUAL(0, keptConnections());
+}
+
+// Guards against a long head that comes in many parts being lost or refused by the check of its lines.
+TEST(BrokenAnswers, aHeadMayComeInParts)
+{
+  const auto bytes = "HTTP/1.1 200 OK\r\nX-Long: " + std::string(20'000, 'x') + "\r\nContent-Length: 5\r\n\r\n y: z";
+  for (const std::size_t part : { std::size_t{ 1 }, std::size_t{ 7 }, bytes.size() }) {
+    start(0);
+    const auto upstream = acceptCall();
+    for (std::size_t from = 0; from < bytes.size(); from += part) {
+      upstream->send(bytes.substr(from, part));
+    }
+    const auto answer = outcome();
+    CHECK(answer.ended);
+    STRCMP_EQUAL(" y: z", answer.data.c_str());
+    CHECK_EQUAL(1, keptConnections());
+    loop.run([&] { pool->idle.clear(); });
+  }
+}
+
+// Guards against a line that begins with a blank being missed where the bytes come in two parts.
+TEST(BrokenAnswers, aLineWithABlankIsFoundInParts)
+{
+  constexpr int kTurns = 3;
+  const std::string bytes = "HTTP/1.1 200 OK\r\nX-Other: y\r\n Content-Length: 4\r\n\r\nbody";
+  for (std::size_t first = 1; first < bytes.size(); ++first) {
+    start(0);
+    const auto upstream = acceptCall();
+    upstream->send(bytes.substr(0, first));
+    // Lets the loop read the first part by itself.
+    for (int turn = 0; turn < kTurns; ++turn) {
+      loop.run([] {});
+    }
+    upstream->send(bytes.substr(first));
+    const auto answer = outcome();
+    CHECK(answer.failed);
+    CHECK_EQUAL(0, answer.heads);
+  }
+}
--- a/tests/net/net_support.h
+++ b/tests/net/net_support.h
@@ -6,6 +6,7 @@
 #include <boost/asio/post.hpp>
 
 #include <netinet/in.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <sys/time.h>
 #include <unistd.h>
@@ -196,6 +197,13 @@
     }
   }
 
+  /// @return whether the peer closed or reset the connection
+  bool awaitClose() const
+  {
+    pollfd waited{ mSocket, POLLRDHUP, 0 };
+    return ::poll(&waited, 1, std::chrono::milliseconds(kTestLimit).count()) == 1;
+  }
+
   /// @return whether readAll() ended with a reset of the connection, not with its close
   bool wasReset() const { return mWasReset; }
 
