--- a/src/net/http_exchange.cpp
+++ b/src/net/http_exchange.cpp
@@ -98,15 +98,15 @@
   return error == boost::asio::error::would_block;
 }
 
-/// Whether a line of the head begins with a blank. The parser joins such a line to the value before it (line folding,
-/// RFC 9112, section 5.2), so a field in it, such as a length, would be lost and passed on as a part of another one.
+/// @return whether a line of the head begins with a space or a tab. The parser joins such a line to the value before it
+/// (line folding, RFC 9112, section 5.2): a field in it, such as a length, would be lost and passed on in another one.
 bool
 hasFoldedLine(std::string_view aHead)
 {
   return aHead.find("\r\n ") != std::string_view::npos || aHead.find("\r\n\t") != std::string_view::npos;
 }
 
-/// The error that no read or write has reported yet. A read reports a close first and a reset behind it never.
+/// @return the error that no read or write has reported yet; a read that finds a close reports no reset behind it
 error_code
 pendingError(const tcp::socket& aSocket)
 {
@@ -459,7 +459,8 @@
   }
 }
 
-/// A failed write takes the error from the socket, which then reads as closed.
+/// @return why the connection failed, or nothing; a failed write takes the error from the socket, which then reads as
+/// closed
 error_code
 Exchange::connectionError() const
 {
--- a/tests/answers/answers_test.cpp
+++ b/tests/answers/answers_test.cpp
@@ -46,6 +46,7 @@
 
   std::uint16_t port() const { return mListener.port(); }
 
+  /// Sets the bytes for requests that come later.
   void sendFromNowOn(Answer aAnswer)
   {
     const std::scoped_lock lock(mMutex);
@@ -82,8 +83,8 @@
     if (!aAnswer.resets) {
       readBody(aCaller, aHead);
     }
+    ++mSent; // before the caller can have the answer
     aCaller.send(aAnswer.bytes);
-    ++mSent;
     if (aAnswer.resets) {
       aCaller.reset();
     }
--- a/tests/net/http_server_test.cpp
+++ b/tests/net/http_server_test.cpp
@@ -106,6 +106,22 @@
     });
   }
 
+  /// Lets the caller have a part of a chunked answer and aborts it.
+  void abortAnswer(RawSocket & aCaller, const std::string& aRequest)
+  {
+    aCaller.send(aRequest);
+    const auto id = awaitRequest(1).caller;
+    loop.run([&] {
+      router::ReplyHead head;
+      head.caller = id;
+      head.chunked = true;
+      server->reply(head);
+      server->reply(router::ReplyBody{ id, "part" });
+    });
+    CHECK(seen.wait([&](const Seen& aSeen) { return aSeen.drained.contains(id); }));
+    loop.run([&] { server->reply(router::ReplyAbort{ id }); });
+  }
+
   double metric(const char* aName) const
   {
     const auto metrics = server->metrics();
@@ -432,17 +448,7 @@
 {
   start();
   RawSocket caller(server->port());
-  caller.send("GET / HTTP/1.1\r\n\r\n");
-  const auto id = awaitRequest(1).caller;
-  loop.run([&] {
-    router::ReplyHead head;
-    head.caller = id;
-    head.chunked = true;
-    server->reply(head);
-    server->reply(router::ReplyBody{ id, "part" });
-  });
-  CHECK(seen.wait([&](const Seen& aSeen) { return aSeen.drained.contains(id); }));
-  loop.run([&] { server->reply(router::ReplyAbort{ id }); });
+  abortAnswer(caller, "GET / HTTP/1.1\r\n\r\n");
   const auto text = caller.readAll();
   CHECK(text.ends_with("4\r\npart\r\n"));
   CHECK(seen.copy().gone.empty());
@@ -454,17 +460,7 @@
 {
   start();
   RawSocket caller(server->port());
-  caller.send("GET / HTTP/1.0\r\n\r\n");
-  const auto id = awaitRequest(1).caller;
-  loop.run([&] {
-    router::ReplyHead head;
-    head.caller = id;
-    head.chunked = true;
-    server->reply(head);
-    server->reply(router::ReplyBody{ id, "part" });
-  });
-  CHECK(seen.wait([&](const Seen& aSeen) { return aSeen.drained.contains(id); }));
-  loop.run([&] { server->reply(router::ReplyAbort{ id }); });
+  abortAnswer(caller, "GET / HTTP/1.0\r\n\r\n");
   CHECK(caller.readAll().ends_with("\r\n\r\npart"));
   CHECK(caller.wasReset());
 }
--- a/tests/net/net_support.h
+++ b/tests/net/net_support.h
@@ -103,8 +103,8 @@
   std::thread mThread;
 };
 
-/// A blocking TCP connection, so that tests control each byte. On the calls of the system: clang-tidy takes the lock
-/// that Asio holds while a socket is made for held at each later wait.
+/// A blocking TCP connection, so that tests control each byte. It uses system calls, since clang-tidy takes the lock
+/// that Asio holds while it makes a socket for held at each later wait.
 class RawSocket
 {
 public:
