Tests: an answer that breaks off behind a line of its head; statuses at the ends of the range

statusesAtTheEndsOfTheRangeAreAnswers guards against too narrow a check: 599 is an answer, 100 and 199 are interim.

--- a/tests/net/broken_answers_test.cpp
+++ b/tests/net/broken_answers_test.cpp
@@ -41,6 +41,7 @@
   std::shared_ptr<HttpPool> pool;
   std::shared_ptr<HttpExchange> exchange;
   bool pausesAtHead = false;
+  bool repeatable = false;
 
   void setup() override
   {
@@ -64,6 +65,7 @@
     call.method = "POST";
     call.body = std::make_shared<const std::string>(aUploadBytes, 'u');
     call.keep = true;
+    call.repeatable = repeatable;
     HttpCallEvents events;
     events.head = [this](const HttpAnswerHead& aHead) {
       if (pausesAtHead) {
@@ -201,6 +203,43 @@
   CHECK_EQUAL(0, keptConnections());
 }
 
+// Guards against the check of the range refusing the statuses at its ends.
+TEST(BrokenAnswers, statusesAtTheEndsOfTheRangeAreAnswers)
+{
+  for (const std::string interim : { "100", "199" }) {
+    for (const std::string status : { "200", "599" }) {
+      start(0);
+      const auto upstream = acceptCall();
+      upstream->send(withStatus(interim, "\r\n"));
+      upstream->send(withStatus(status, "Content-Length: 4\r\n\r\nbody"));
+      const auto answer = outcome();
+      CHECK(answer.ended);
+      CHECK_EQUAL(1, answer.heads);
+      CHECK_EQUAL(std::stoi(status), answer.status);
+      STRCMP_EQUAL("body", answer.data.c_str());
+      loop.run([&] { pool->idle.clear(); });
+    }
+  }
+}
+
+// Guards against a call being sent again although its upstream had begun to answer it, where the answer breaks off
+// exactly behind a line of its head.
+TEST(BrokenAnswers, aHeadThatBreaksOffBehindALineHasBegun)
+{
+  repeatable = true;
+  start(0);
+  const auto upstream = acceptCall();
+  upstream->send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+  CHECK(outcome().ended);
+  CHECK_EQUAL(1, keptConnections());
+  start(0);
+  upstream->readUntil("\r\n\r\n");
+  upstream->send("HTTP/1.1 200 OK\r\n");
+  upstream->closeSending();
+  // A call that is sent again waits on a new connection, which nobody accepts, and never fails.
+  CHECK(outcome().failed);
+}
+
 // Guards against a head in which the name of a field holds a blank or a control byte: its line is passed on, or left
 // out where it says how the body ends.
 TEST(BrokenAnswers, aFieldNameWithABlankOrControlByteIsNoAnswer)
